Move the project's own configuration clients to package configservice

Cause: the folder platform/ is to hold the adapter for the users' platform; the package of that name holds clients of the project's own configuration service. Change: renamed, no change of behaviour. Conclusion: the name says what the package reads.

--- a/platform/platform_test.go
+++ b/configservice/configservice_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodroute/dogwoodroute/internal/standin"
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 )
 
 // Guards against a faulty service whose answer is taken for a value, or whose
@@ -23,19 +23,19 @@
 	value := standin.NewValue([]byte("content"))
 	server := httptest.NewServer(value)
 	defer server.Close()
-	source, err := platform.NewHTTPSource(server.URL)
+	source, err := configservice.NewHTTPSource(server.URL)
 	is.New(t).NoErr(err)
 	defer source.Close()
-	big := []byte(strings.Repeat("x", platform.MaxValueBytes+1))
-	for step, mode := range map[platform.Step]standin.Mode{
-		platform.StepStatus: {Down: true}, platform.StepRequest: {Cut: true},
-		platform.StepBody: {Truncate: true}, platform.StepSize: {Nonsense: big},
+	big := []byte(strings.Repeat("x", configservice.MaxValueBytes+1))
+	for step, mode := range map[configservice.Step]standin.Mode{
+		configservice.StepStatus: {Down: true}, configservice.StepRequest: {Cut: true},
+		configservice.StepBody: {Truncate: true}, configservice.StepSize: {Nonsense: big},
 	} {
 		t.Run(string(step), func(t *testing.T) {
 			is := is.New(t)
 			value.SetMode(mode)
 			_, err := source.Read(t.Context())
-			var failure *platform.SourceError
+			var failure *configservice.SourceError
 			is.True(errors.As(err, &failure))
 			is.Equal(failure.Step, step)
 			is.Equal("http://"+failure.Peer, server.URL)
@@ -50,10 +50,10 @@
 			w.Header().Set("Location", "/elsewhere")
 			w.WriteHeader(status)
 		}))
-		source, err := platform.NewHTTPSource(server.URL)
+		source, err := configservice.NewHTTPSource(server.URL)
 		is.New(t).NoErr(err)
 		_, err = source.Read(t.Context())
-		var failure *platform.SourceError
+		var failure *configservice.SourceError
 		is.New(t).True(errors.As(err, &failure) && failure.Status == status)
 		source.Close()
 		server.Close()
@@ -63,14 +63,14 @@
 // source answers each call with the next revision, or always the same way.
 type source struct {
 	calls int
-	next  func(call int) (platform.Value, error)
+	next  func(call int) (configservice.Value, error)
 	hold  time.Duration
 }
 
-func (s *source) Read(context.Context) (platform.Value, error) { s.calls++; return s.next(s.calls) }
-func (s *source) Watch(ctx context.Context, _ string) (platform.Value, error) {
+func (s *source) Read(context.Context) (configservice.Value, error) { s.calls++; return s.next(s.calls) }
+func (s *source) Watch(ctx context.Context, _ string) (configservice.Value, error) {
 	s.calls++
-	platform.Sleep(ctx, s.hold)
+	configservice.Sleep(ctx, s.hold)
 	return s.next(s.calls)
 }
 
@@ -78,12 +78,12 @@
 // simulated time, 20 instances with two followers each must stay far below
 // 2,000 calls a second.
 func TestFollowerPacesCalls(t *testing.T) {
-	for name, next := range map[string]func(int) (platform.Value, error){
-		"changing": func(n int) (platform.Value, error) { return platform.Value{Tag: fmt.Sprint(n)}, nil },
-		"untagged": func(int) (platform.Value, error) { return platform.Value{}, nil },
-		"same":     func(int) (platform.Value, error) { return platform.Value{Tag: "t"}, nil },
-		"failing":  func(int) (platform.Value, error) { return platform.Value{}, errors.New("down") },
-		"no wait":  func(int) (platform.Value, error) { return platform.Value{}, platform.ErrUnchanged },
+	for name, next := range map[string]func(int) (configservice.Value, error){
+		"changing": func(n int) (configservice.Value, error) { return configservice.Value{Tag: fmt.Sprint(n)}, nil },
+		"untagged": func(int) (configservice.Value, error) { return configservice.Value{}, nil },
+		"same":     func(int) (configservice.Value, error) { return configservice.Value{Tag: "t"}, nil },
+		"failing":  func(int) (configservice.Value, error) { return configservice.Value{}, errors.New("down") },
+		"no wait":  func(int) (configservice.Value, error) { return configservice.Value{}, configservice.ErrUnchanged },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -91,7 +91,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
 				defer cancel()
 				s := &source{next: next}
-				platform.NewFollower(platform.FollowerOptions{Source: s, Deliver: func(platform.Delivery) {}}).Run(ctx)
+				configservice.NewFollower(configservice.FollowerOptions{Source: s, Deliver: func(configservice.Delivery) {}}).Run(ctx)
 				is.New(t).True(s.calls < 11*seconds) // times 40 followers: 440 calls/s
 				is.New(t).True(s.calls > seconds/4)  // it goes on calling
 			})
@@ -103,13 +103,13 @@
 // a watch that it started before the pause.
 func TestRefreshEndsWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &source{hold: time.Hour, next: func(n int) (platform.Value, error) {
-			return platform.Value{Tag: fmt.Sprint(n)}, nil
+		s := &source{hold: time.Hour, next: func(n int) (configservice.Value, error) {
+			return configservice.Value{Tag: fmt.Sprint(n)}, nil
 		}}
 		var delivered []time.Duration
 		begin := time.Now()
-		follower := platform.NewFollower(platform.FollowerOptions{Source: s,
-			Deliver: func(platform.Delivery) { delivered = append(delivered, time.Since(begin)) }})
+		follower := configservice.NewFollower(configservice.FollowerOptions{Source: s,
+			Deliver: func(configservice.Delivery) { delivered = append(delivered, time.Since(begin)) }})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { follower.Run(ctx); close(done) }()
@@ -129,7 +129,7 @@
 	f.Add([]byte(`{"instances": [], "leaving_targets": ["10.0.0.1:1"]}`))
 	f.Add([]byte(`{}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		list, err := platform.ParseList(data)
+		list, err := configservice.ParseList(data)
 		if err != nil {
 			return
 		}
--- a/platform/doc.go
+++ b/configservice/doc.go
@@ -1,4 +1,4 @@
-// Package platform reads what the platform publishes: the configuration
+// Package configservice reads what a configuration service publishes: the configuration
 // service and the list of instances. Nothing is ever written to either.
 //
 // Both are served over HTTP with long polling. A read is a GET, answered with
@@ -6,4 +6,4 @@
 // wait_ms and the header If-None-Match; it is answered when the value differs
 // from that ETag, or with status 304 when the wait is over. Each call counts
 // against the service's read rate.
-package platform
+package configservice
--- a/confsync/fleet_test.go
+++ b/confsync/fleet_test.go
@@ -15,9 +15,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/internal/standin"
 	"github.com/dogwoodroute/dogwoodroute/membership"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -55,7 +55,7 @@
 func startFleet(t *testing.T, n int, service func(k int) string) *fleet {
 	f := &fleet{t: t}
 	var listeners []net.Listener
-	var list platform.List
+	var list configservice.List
 	for k := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -63,7 +63,7 @@
 		}
 		listeners = append(listeners, listener)
 		address := listener.Addr().String()
-		list.Instances = append(list.Instances, platform.Instance{ID: fmt.Sprintf("i%02d", k), PeerAddress: address, CallerAddress: address})
+		list.Instances = append(list.Instances, configservice.Instance{ID: fmt.Sprintf("i%02d", k), PeerAddress: address, CallerAddress: address})
 	}
 	data, err := json.Marshal(list)
 	if err != nil {
@@ -78,9 +78,9 @@
 }
 
 func (f *fleet) start(k int, listener net.Listener, service string) *instance {
-	sources := make([]*platform.HTTPSource, 2)
+	sources := make([]*configservice.HTTPSource, 2)
 	for n, url := range []string{service, f.listURL} {
-		source, err := platform.NewHTTPSource(url)
+		source, err := configservice.NewHTTPSource(url)
 		if err != nil {
 			f.t.Fatal(err)
 		}
--- a/confsync/options.go
+++ b/confsync/options.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -25,7 +25,7 @@
 // Options configure a Syncer.
 type Options struct {
 	// Source is the configuration service. Required.
-	Source platform.Source
+	Source configservice.Source
 	// Peers are asked at a start and for higher versions. Default none.
 	Peers Peers
 	// Apply is called with each newly accepted document, in order, by the task.
--- a/confsync/start_test.go
+++ b/confsync/start_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -22,23 +22,23 @@
 	calls map[time.Duration]int
 }
 
-func (s *service) Read(context.Context) (platform.Value, error) {
+func (s *service) Read(context.Context) (configservice.Value, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	up := time.Since(s.begin)
 	s.calls[up.Truncate(time.Second)]++
 	if up < 10*time.Second {
-		return platform.Value{}, errors.New("down")
+		return configservice.Value{}, errors.New("down")
 	}
-	return platform.Value{Data: document(1, ""), Tag: "1"}, nil
+	return configservice.Value{Data: document(1, ""), Tag: "1"}, nil
 }
 
-func (s *service) Watch(ctx context.Context, _ string) (platform.Value, error) {
+func (s *service) Watch(ctx context.Context, _ string) (configservice.Value, error) {
 	if _, err := s.Read(ctx); err != nil {
-		return platform.Value{}, err
+		return configservice.Value{}, err
 	}
-	platform.Sleep(ctx, 20*time.Second)
-	return platform.Value{}, platform.ErrUnchanged
+	configservice.Sleep(ctx, 20*time.Second)
+	return configservice.Value{}, configservice.ErrUnchanged
 }
 
 // peers are listed but never answer.
--- a/confsync/syncer.go
+++ b/confsync/syncer.go
@@ -5,7 +5,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 )
 
 // eventBuffer is the number of events that may wait for the task.
@@ -17,7 +17,7 @@
 	options  Options
 	state    State
 	events   chan func(ctx context.Context)
-	follower *platform.Follower
+	follower *configservice.Follower
 	ready    chan struct{}
 	done     chan struct{}
 	status   atomic.Pointer[Status]
@@ -36,7 +36,7 @@
 		o.StartWait = DefaultStartWait
 	}
 	s := &Syncer{options: o, events: make(chan func(context.Context), eventBuffer), ready: make(chan struct{}), done: make(chan struct{})}
-	s.follower = platform.NewFollower(platform.FollowerOptions{Source: o.Source, Deliver: s.delivered})
+	s.follower = configservice.NewFollower(configservice.FollowerOptions{Source: o.Source, Deliver: s.delivered})
 	s.state.OnRefusal, s.state.OnConflict = o.Refused, o.Conflict
 	s.status.Store(new(Status))
 	return s
@@ -96,7 +96,7 @@
 }
 
 // delivered takes a result of the service's follower.
-func (s *Syncer) delivered(d platform.Delivery) {
+func (s *Syncer) delivered(d configservice.Delivery) {
 	if d.Err != nil {
 		return // the follower goes on; the version in force stays
 	}
--- a/internal/capacity/traffic.go
+++ b/internal/capacity/traffic.go
@@ -12,9 +12,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/membership"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -78,13 +78,13 @@
 	const step, warmUp, seconds = 50 * time.Millisecond, 20 * time.Second, 100
 	fleet := make(map[string]*membership.Members)
 	var order []string
-	list := new(platform.List)
+	list := new(configservice.List)
 	for n := range designInstances {
 		peer := designPeer(n)
 		fleet[peer.ID] = membership.NewMembers(membership.MembersOptions{Self: peer, Rand: rand.New(rand.NewPCG(1, uint64(n)))})
 		order = append(order, peer.ID)
-		list.Instances = append(list.Instances, platform.Instance{ID: peer.ID, FailureDomain: peer.FailureDomain,
-			PeerAddress: peer.PeerAddress, CallerAddress: peer.CallerAddress, AdminAddress: peer.AdminAddress, State: platform.InstanceLive})
+		list.Instances = append(list.Instances, configservice.Instance{ID: peer.ID, FailureDomain: peer.FailureDomain,
+			PeerAddress: peer.PeerAddress, CallerAddress: peer.CallerAddress, AdminAddress: peer.AdminAddress, State: configservice.InstanceLive})
 	}
 	var messages, bytes int
 	count := func(s *peerapi.State) *peerapi.State {
@@ -140,11 +140,11 @@
 }
 
 func listBytes() float64 {
-	var list platform.List
+	var list configservice.List
 	for n := range designInstances {
 		p := designPeer(n)
-		list.Instances = append(list.Instances, platform.Instance{ID: p.ID, FailureDomain: p.FailureDomain, PeerAddress: p.PeerAddress,
-			CallerAddress: p.CallerAddress, AdminAddress: p.AdminAddress, State: platform.InstanceLive})
+		list.Instances = append(list.Instances, configservice.Instance{ID: p.ID, FailureDomain: p.FailureDomain, PeerAddress: p.PeerAddress,
+			CallerAddress: p.CallerAddress, AdminAddress: p.AdminAddress, State: configservice.InstanceLive})
 	}
 	text, err := json.Marshal(&list)
 	if err != nil {
@@ -164,7 +164,7 @@
 	server.Listener = &countingListener{Listener: server.Listener, bytes: &bytes}
 	server.Start()
 	defer server.Close()
-	source, err := platform.NewHTTPSource(server.URL + "/configuration")
+	source, err := configservice.NewHTTPSource(server.URL + "/configuration")
 	if err != nil {
 		return 0, err
 	}
--- a/internal/cli/address.go
+++ b/internal/cli/address.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/dogwoodroute/dogwoodroute/admin"
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 )
 
 // addressFlags say which instances to ask.
@@ -41,7 +41,7 @@
 	if len(f.admin) > 0 {
 		return f.admin, nil, nil
 	}
-	source, err := platform.NewHTTPSource(f.instancesURL)
+	source, err := configservice.NewHTTPSource(f.instancesURL)
 	if err != nil {
 		return nil, nil, usageError{err}
 	}
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "list of instances")
 	}
-	list, err := platform.ParseList(value.Data)
+	list, err := configservice.ParseList(value.Data)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/cli/fixture_test.go
+++ b/internal/cli/fixture_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodroute/dogwoodroute/admin"
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/refusal"
 	"github.com/dogwoodroute/dogwoodroute/timeline"
 )
@@ -86,10 +86,10 @@
 
 // listURL serves a list of instances with these administration addresses.
 func listURL(t *testing.T, addresses ...string) string {
-	var list platform.List
+	var list configservice.List
 	for _, address := range addresses {
-		list.Instances = append(list.Instances, platform.Instance{ID: "at-" + address, CallerAddress: "a", PeerAddress: "127.0.0.1:9",
-			AdminAddress: address, State: platform.InstanceLive})
+		list.Instances = append(list.Instances, configservice.Instance{ID: "at-" + address, CallerAddress: "a", PeerAddress: "127.0.0.1:9",
+			AdminAddress: address, State: configservice.InstanceLive})
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(list) }))
 	t.Cleanup(server.Close)
--- a/internal/faults/pause_test.go
+++ b/internal/faults/pause_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/internal/checker"
 	"github.com/dogwoodroute/dogwoodroute/internal/standin"
 	"github.com/dogwoodroute/dogwoodroute/internal/testbed"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 	"github.com/dogwoodroute/dogwoodroute/refusal"
 	"github.com/dogwoodroute/dogwoodroute/settings"
 )
@@ -28,7 +28,7 @@
 	w             *scenario // keeps evidence; has no fleet
 	configuration *standin.Value
 	targets       []*standin.Target
-	list          platform.List
+	list          configservice.List
 	daemons       []*exec.Cmd
 }
 
@@ -54,7 +54,7 @@
 	}
 	p.configuration = standin.NewValue(p.tablesText(1, "serving"))
 	for n := range count {
-		p.list.Instances = append(p.list.Instances, platform.Instance{ID: fmt.Sprintf("i%d", n), FailureDomain: "a",
+		p.list.Instances = append(p.list.Instances, configservice.Instance{ID: fmt.Sprintf("i%d", n), FailureDomain: "a",
 			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AdminAddress: freeAddress(t)})
 	}
 	list, err := json.Marshal(&p.list)
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/internal/standin"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -148,7 +148,7 @@
 
 // publishList writes the list of instances. Stopped ones are left out.
 func (f *Fleet) publishList() {
-	list := platform.List{Instances: []platform.Instance{}, LeavingTargets: f.leaving}
+	list := configservice.List{Instances: []configservice.Instance{}, LeavingTargets: f.leaving}
 	for _, instance := range f.instances {
 		if instance != nil && !instance.removed.Load() {
 			list.Instances = append(list.Instances, instance.entry)
--- a/internal/testbed/instance.go
+++ b/internal/testbed/instance.go
@@ -14,14 +14,14 @@
 
 	"github.com/dogwoodroute/dogwoodroute"
 	"github.com/dogwoodroute/dogwoodroute/admin"
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/settings"
 )
 
 // Instance is one instance of a Fleet.
 type Instance struct {
 	*dogwoodroute.Instance
-	entry   platform.Instance
+	entry   configservice.Instance
 	removed atomic.Bool // from the list of instances
 	started atomic.Bool
 	ended   chan struct{}
@@ -47,9 +47,9 @@
 		}
 	}
 	id := identifier(place)
-	entry := platform.Instance{ID: id, FailureDomain: f.options.Domains[place%len(f.options.Domains)],
+	entry := configservice.Instance{ID: id, FailureDomain: f.options.Domains[place%len(f.options.Domains)],
 		CallerAddress: listeners.Callers.Addr().String(), PeerAddress: listeners.Peers.Addr().String(),
-		AdminAddress: listeners.Operators.Addr().String(), State: platform.InstanceLive}
+		AdminAddress: listeners.Operators.Addr().String(), State: configservice.InstanceLive}
 	s, err := f.settings(entry)
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 func identifier(place int) string { return fmt.Sprintf("i%02d", place) }
 
 // settings goes through the settings file's form, so that its checks apply.
-func (f *Fleet) settings(entry platform.Instance) (*settings.Settings, error) {
+func (f *Fleet) settings(entry configservice.Instance) (*settings.Settings, error) {
 	s := settings.Settings{ID: entry.ID, FailureDomain: entry.FailureDomain, CallerAddress: entry.CallerAddress,
 		PeerAddress: entry.PeerAddress, AdminAddress: entry.AdminAddress,
 		ConfigurationURL: f.platform[0].URL + "/" + entry.ID, InstancesURL: f.platform[1].URL,
--- a/membership/members.go
+++ b/membership/members.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 )
 
 // Members is the state of the fleet as one instance sees it. It is not safe
@@ -129,7 +129,7 @@
 }
 
 // Listed takes a list of the platform that was read from the given time on.
-func (m *Members) Listed(now, started time.Duration, list *platform.List) {
+func (m *Members) Listed(now, started time.Duration, list *configservice.List) {
 	m.noticePause(now)
 	m.refreshed(started)
 	for _, o := range m.members {
@@ -145,12 +145,12 @@
 }
 
 // list takes one entry. The addresses that the member itself told win.
-func (m *Members) list(now time.Duration, instance platform.Instance) {
+func (m *Members) list(now time.Duration, instance configservice.Instance) {
 	o := m.findOrAdd(now, instance.ID)
 	if o == nil {
 		return
 	}
-	o.listed, o.listedLeaving = true, instance.State == platform.InstanceLeaving
+	o.listed, o.listedLeaving = true, instance.State == configservice.InstanceLeaving
 	if !o.known || o.PeerAddress == "" || o.liveness(now) == Dead {
 		o.FailureDomain, o.PeerAddress = instance.FailureDomain, instance.PeerAddress
 		o.CallerAddress, o.AdminAddress = instance.CallerAddress, instance.AdminAddress
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 )
 
 const step = 50 * time.Millisecond
@@ -28,11 +28,11 @@
 		PeerAddress: fmt.Sprintf("10.0.0.%d:7000", n), CallerAddress: fmt.Sprintf("10.0.0.%d:7001", n)}
 }
 
-func list(n int) *platform.List {
-	l := new(platform.List)
+func list(n int) *configservice.List {
+	l := new(configservice.List)
 	for k := range n {
 		p := node(k, 1)
-		l.Instances = append(l.Instances, platform.Instance{ID: p.ID, PeerAddress: p.PeerAddress, CallerAddress: p.CallerAddress})
+		l.Instances = append(l.Instances, configservice.Instance{ID: p.ID, PeerAddress: p.PeerAddress, CallerAddress: p.CallerAddress})
 	}
 	return l
 }
--- a/membership/task.go
+++ b/membership/task.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 )
 
 // eventBuffer is the number of events that may wait for the task.
@@ -21,7 +21,7 @@
 	// Listener accepts the peers' connections. Required. Run closes it.
 	Listener net.Listener
 	// List is the platform's list of instances. Default none.
-	List platform.Source
+	List configservice.Source
 	// Changed is called by the task after a change of the fleet, of the draining
 	// targets or of staleness. It must not block. Default none.
 	Changed func(*View)
@@ -58,7 +58,7 @@
 	view     atomic.Pointer[View]
 	clients  *clients
 	traffic  *traffic
-	list     *platform.Follower
+	list     *configservice.Follower
 	ticks    <-chan time.Time // tests set it before Run
 	calls    sync.WaitGroup   // exchanges in flight
 }
@@ -84,7 +84,7 @@
 	t.clients = newClients(o.Reachable, t.traffic)
 	t.view.Store(t.members.View(o.Now()))
 	if o.List != nil {
-		t.list = platform.NewFollower(platform.FollowerOptions{Source: o.List, Deliver: t.deliver})
+		t.list = configservice.NewFollower(configservice.FollowerOptions{Source: o.List, Deliver: t.deliver})
 	}
 	return t
 }
@@ -168,11 +168,11 @@
 }
 
 // deliver takes a result of the list's follower.
-func (t *Task) deliver(d platform.Delivery) {
+func (t *Task) deliver(d configservice.Delivery) {
 	if d.Err != nil {
 		return // an unchanged watch was started long before its answer and proves little
 	}
-	list, err := platform.ParseList(d.Value.Data)
+	list, err := configservice.ParseList(d.Value.Data)
 	if err != nil {
 		return
 	}
--- a/membership/task_test.go
+++ b/membership/task_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,7 +30,7 @@
 
 func startDriven(t *testing.T, n int) *driven {
 	d := &driven{t: t}
-	l := new(platform.List)
+	l := new(configservice.List)
 	var listeners []net.Listener
 	for k := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -38,7 +38,7 @@
 			t.Fatal(err)
 		}
 		listeners = append(listeners, listener)
-		l.Instances = append(l.Instances, platform.Instance{ID: node(k, 1).ID, PeerAddress: listener.Addr().String()})
+		l.Instances = append(l.Instances, configservice.Instance{ID: node(k, 1).ID, PeerAddress: listener.Addr().String()})
 	}
 	for k, listener := range listeners {
 		self := node(k, 1)
--- a/peers.go
+++ b/peers.go
@@ -7,19 +7,19 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodroute/dogwoodroute/configservice"
 	"github.com/dogwoodroute/dogwoodroute/confsync"
 	"github.com/dogwoodroute/dogwoodroute/membership"
-	"github.com/dogwoodroute/dogwoodroute/platform"
 	"github.com/dogwoodroute/dogwoodroute/timeline"
 )
 
 // connectPeers makes the membership and configuration tasks.
 func (i *Instance) connectPeers(listener net.Listener) error {
-	configuration, err := platform.NewHTTPSource(i.settings.ConfigurationURL)
+	configuration, err := configservice.NewHTTPSource(i.settings.ConfigurationURL)
 	if err != nil {
 		return errors.Wrap(err, "configuration service")
 	}
-	instances, err := platform.NewHTTPSource(i.settings.InstancesURL)
+	instances, err := configservice.NewHTTPSource(i.settings.InstancesURL)
 	if err != nil {
 		return errors.Wrap(err, "list of instances")
 	}
