--- /dev/null
+++ b/catalog/matcher.go
@@ -0,0 +1,47 @@
+package catalog
+
+import (
+	"net"
+	"strings"
+)
+
+// Matcher finds the route of a request: among the routes of the host, the one
+// with the longest prefix. It is immutable.
+type Matcher struct {
+	routes map[matchKey]*Route
+}
+
+type matchKey struct{ host, prefix string }
+
+// NewMatcher returns a matcher of the routes, which must not change afterwards.
+// Of two routes with the same host and prefix the first one holds.
+func NewMatcher(routes []Route) *Matcher {
+	m := &Matcher{routes: make(map[matchKey]*Route, len(routes))}
+	for i := range routes {
+		key := matchKey{host: routes[i].Host, prefix: routes[i].Prefix}
+		if _, known := m.routes[key]; !known {
+			m.routes[key] = &routes[i]
+		}
+	}
+	return m
+}
+
+// Match returns the route of a request, or nil. The host may have a port; the
+// path excludes the query.
+func (m *Matcher) Match(host, path string) *Route {
+	host = CanonicalHost(host)
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route := m.routes[matchKey{host: host, prefix: path[:end+1]}]; route != nil {
+			return route
+		}
+	}
+	return nil
+}
+
+// CanonicalHost returns the host in lower case without its port.
+func CanonicalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/fleet/clients.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/dogwoodroute/dogwoodroute/peerapi"
+)
+
+const (
+	// exchangeTimeout bounds one exchange. Peers answer within milliseconds; a
+	// longer wait means that the peer or the connection is gone.
+	exchangeTimeout = 400 * time.Millisecond
+	// connectBackoff keeps reconnection fast: a restarted process listens again
+	// within a fraction of a second.
+	connectBackoff = 100 * time.Millisecond
+	// bufferBytes is the size of a connection's buffers; messages are small.
+	bufferBytes = 4 << 10
+)
+
+// clients holds a connection to each peer. The task owns it; the connections
+// themselves are safe for concurrent use.
+type clients struct {
+	port  uint16
+	conns map[netip.Addr]*grpc.ClientConn
+}
+
+func newClients(port uint16) *clients {
+	return &clients{port: port, conns: make(map[netip.Addr]*grpc.ClientConn)}
+}
+
+// get returns the connection to a peer, which connects when it is first used.
+func (c *clients) get(ip netip.Addr) (*grpc.ClientConn, error) {
+	if conn := c.conns[ip]; conn != nil {
+		return conn, nil
+	}
+	params := grpc.ConnectParams{MinConnectTimeout: exchangeTimeout,
+		Backoff: backoff.Config{BaseDelay: connectBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: 5 * connectBackoff}}
+	conn, err := grpc.NewClient("passthrough:///"+netip.AddrPortFrom(ip, c.port).String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithConnectParams(params), grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithIdleTimeout(0),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithSharedWriteBuffer(true))
+	if err != nil {
+		return nil, errors.Wrapf(err, "make client of peer %s", ip)
+	}
+	c.conns[ip] = conn
+	return conn, nil
+}
+
+// drop closes the connection to a peer: it may have gone silent without a reset.
+func (c *clients) drop(ip netip.Addr) {
+	if conn := c.conns[ip]; conn != nil {
+		delete(c.conns, ip)
+		_ = conn.Close() // nothing is sent on it any more
+	}
+}
+
+func (c *clients) close() {
+	for ip := range c.conns {
+		c.drop(ip)
+	}
+}
+
+// exchange sends the state to a peer and returns the peer's.
+func exchange(ctx context.Context, conn *grpc.ClientConn, state *peerapi.FleetState) (*peerapi.FleetState, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return peerapi.NewFleetClient(conn).Exchange(ctx, state)
+}
--- /dev/null
+++ b/fleet/exchange.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/records"
+)
+
+const (
+	// exchangeInterval is the time between exchanges that an instance starts.
+	exchangeInterval = 200 * time.Millisecond
+	// fanout bounds the peers that are told of a change at once. Above it, those
+	// tell relayFanout others each.
+	fanout      = 24
+	relayFanout = 3
+	// passedOn bounds the members that one exchange tells of.
+	passedOn = 10
+	// nearShare is the share of exchanges that stay in the failure domain.
+	nearShare = 0.5
+	// searchEvery is every how many rounds an instance contacts a seed or a
+	// silent peer, so that separated parts find each other.
+	searchEvery = 5
+)
+
+// startRound starts the exchanges that are due.
+func (t *Task) startRound(now time.Duration) {
+	t.round++
+	live := t.roster.livePeers(now)
+	if len(live) == 0 {
+		t.search(now, true)
+		return
+	}
+	if t.round%searchEvery == 0 {
+		t.search(now, false)
+		return
+	}
+	if t.round%2 == 0 {
+		if readers := selectPeers(live, func(p *peer) bool { return p.State.Has(Reading) }); len(readers) > 0 {
+			t.contact(now, readers[rand.IntN(len(readers))].IP)
+			return
+		}
+	}
+	if near := selectPeers(live, func(p *peer) bool { return p.Domain == t.options.Domain }); len(near) > 0 &&
+		rand.Float64() < nearShare {
+		live = near
+	}
+	t.contact(now, live[rand.IntN(len(live))].IP)
+}
+
+// search contacts one seed or silent peer, or all seeds.
+func (t *Task) search(now time.Duration, all bool) {
+	var unknown []netip.Addr
+	for _, seed := range t.options.Seeds {
+		if p := t.roster.peers[seed]; seed != t.options.IP && (p == nil || !p.live(now)) {
+			unknown = append(unknown, seed)
+		}
+	}
+	for _, p := range t.roster.silentPeers(now) {
+		unknown = append(unknown, p.IP)
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	if all {
+		for _, ip := range unknown[:min(len(unknown), fanout)] {
+			t.contact(now, ip)
+		}
+		return
+	}
+	t.contact(now, unknown[rand.IntN(len(unknown))])
+}
+
+// spread tells peers of a change at once.
+func (t *Task) spread(now time.Duration) {
+	t.tell(now, fanout)
+}
+
+// relay passes a change on in fleets that are too large for one fanout.
+func (t *Task) relay(now time.Duration) {
+	if len(t.roster.peers) > fanout {
+		t.tell(now, relayFanout)
+	}
+}
+
+func (t *Task) tell(now time.Duration, n int) {
+	live := t.roster.livePeers(now)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	for _, p := range live[:min(n, len(live))] {
+		t.contact(now, p.IP)
+	}
+}
+
+// contact starts an exchange with a peer, or notes that another one is due when
+// one is under way.
+func (t *Task) contact(now time.Duration, ip netip.Addr) {
+	if t.busy[ip] {
+		t.again[ip] = true
+		return
+	}
+	conn, err := t.clients.get(ip)
+	if err != nil {
+		t.options.Log.Error("no client for a peer", "peer", ip.String(), "error", err.Error())
+		return
+	}
+	known := uint64(0)
+	if p := t.roster.peers[ip]; p != nil {
+		known = p.revision
+	}
+	state := t.state(known, known > 0)
+	t.busy[ip] = true
+	go func() {
+		answer, err := exchange(t.context, conn, state)
+		t.loop.Post(func(now time.Duration) { t.exchanged(now, ip, answer, err) })
+	}()
+}
+
+// exchanged takes the result of an exchange.
+func (t *Task) exchanged(now time.Duration, ip netip.Addr, answer *peerapi.FleetState, err error) {
+	delete(t.busy, ip)
+	again := t.again[ip]
+	delete(t.again, ip)
+	if err != nil {
+		if p := t.roster.peers[ip]; p != nil && p.failures == 0 && t.context.Err() == nil {
+			t.options.Log.Warn("lost a peer", "peer", ip.String(), "error", err.Error())
+		}
+		t.roster.failed(ip)
+		t.clients.drop(ip)
+		return
+	}
+	t.merge(now, answer)
+	if again {
+		t.contact(now, ip)
+	}
+}
+
+// state returns this instance's state for a peer whose records are complete up
+// to known. Changes are left out when that is not known.
+func (t *Task) state(known uint64, changes bool) *peerapi.FleetState {
+	s := &peerapi.FleetState{Self: memberMessage(t.roster.self), Revision: t.set.Revision()}
+	for _, m := range t.roster.latest(passedOn) {
+		s.Members = append(s.Members, memberMessage(m))
+	}
+	if !changes || known >= t.set.Revision() {
+		return s
+	}
+	list, ok := t.set.Since(known)
+	if !ok || known == 0 {
+		list, s.Full = t.set.All(), true
+	}
+	messages, err := t.packer.messages(list)
+	if err != nil { // the peer asks another one
+		t.options.Log.Error("records not sent to a peer", "error", err.Error())
+		s.Full = false
+		return s
+	}
+	s.Changes, s.ChangesAfter, s.HasChanges = messages, known, true
+	return s
+}
+
+// merge takes a peer's state and reports whether it held news of records.
+func (t *Task) merge(now time.Duration, s *peerapi.FleetState) {
+	if s.GetSelf() == nil {
+		return
+	}
+	sender := memberOf(s.GetSelf())
+	if p := t.roster.peers[sender.IP]; p != nil && p.failures > 0 {
+		t.options.Log.Info("regained a peer", "peer", sender.IP.String())
+	}
+	t.roster.learn(now, sender, true)
+	if p := t.roster.peers[sender.IP]; p != nil {
+		p.revision = s.GetRevision()
+	}
+	for _, m := range s.GetMembers() {
+		t.roster.learn(now, memberOf(m), false)
+	}
+	t.mergeRecords(now, s, sender.IP)
+	t.publishSnapshot(now)
+}
+
+func (t *Task) mergeRecords(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
+	if s.GetRevision() <= t.set.Revision() {
+		return
+	}
+	if !s.GetHasChanges() || !s.GetFull() && s.GetChangesAfter() > t.set.Revision() {
+		t.contact(now, sender) // its answer holds what is missing
+		return
+	}
+	list, err := recordsOf(s.GetChanges())
+	if err != nil {
+		t.options.Log.Warn("records of a peer not readable", "peer", sender.String(), "error", err.Error())
+		return
+	}
+	var news []records.Record
+	if s.GetFull() {
+		news = t.set.Replace(list, s.GetRevision(), false)
+	} else {
+		news = t.set.Apply(list, s.GetRevision())
+	}
+	if len(news) > 0 {
+		t.apply(now, news)
+		t.relay(now)
+	}
+}
+
+func selectPeers(list []*peer, keep func(*peer) bool) []*peer {
+	var kept []*peer
+	for _, p := range list {
+		if keep(p) {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/fleet/member.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"time"
+)
+
+// Member is an instance's statement about itself.
+type Member struct {
+	IP netip.Addr
+	// Incarnation is a random number made at the start of the process.
+	Incarnation uint32
+	// Heartbeat increases while the process runs.
+	Heartbeat uint32
+	// Domain is the index of the failure domain in Options.Domains.
+	Domain int
+	State  MemberState
+}
+
+// MemberState is a set of flags.
+type MemberState uint32
+
+// Flags of a member.
+const (
+	// Leaving is set once the instance was told to stop.
+	Leaving MemberState = 1 << iota
+	// Ready is set while the instance can serve callers.
+	Ready
+	// Reading is set while the instance has recent answers from the store.
+	Reading
+	// StoreFailed is set while the store does not answer the instance.
+	StoreFailed
+)
+
+// Has reports whether a flag is set.
+func (s MemberState) Has(flag MemberState) bool { return s&flag != 0 }
+
+// newer reports whether m says something later than old about the same instance.
+func (m *Member) newer(old *Member) bool {
+	if m.Incarnation != old.Incarnation {
+		// Incarnations carry no order; the relay of an earlier one may arrive
+		// late, and is then replaced by the next direct contact.
+		return true
+	}
+	return int32(m.Heartbeat-old.Heartbeat) > 0
+}
+
+// order is the place of a member among candidates for reading the store.
+func (m *Member) order() uint64 {
+	h := fnv.New64a()
+	ip := m.IP.As4()
+	_, _ = h.Write(ip[:]) // a hash never fails
+	return h.Sum64()
+}
+
+// peer is what an instance knows of another one.
+type peer struct {
+	Member
+	// heard is when the heartbeat last increased.
+	heard time.Duration
+	// contact is when an exchange with it last succeeded.
+	contact time.Duration
+	// failures counts exchanges that failed since then.
+	failures int
+	// revision is the revision that it last reported.
+	revision uint64
+	// former is the incarnation before the present one.
+	former uint32
+}
--- /dev/null
+++ b/fleet/options.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// Options configure a Task. All fields without a default are required.
+type Options struct {
+	// Listener serves peers. The task closes it.
+	Listener net.Listener
+	// IP is this instance's address; peers listen on the same port.
+	IP   netip.Addr
+	Port uint16
+	// Domains are the failure domains, sorted; Domain is this instance's index.
+	Domains []string
+	Domain  int
+	// Incarnation is a random number made at the start of the process.
+	Incarnation uint32
+	// Seeds are addresses of instances that may run. They may be stale.
+	Seeds []netip.Addr
+	Source
+	Decoder
+	Log *slog.Logger
+	// Now returns the time since the start of the process on the steady clock.
+	Now func() time.Duration
+	// OnView, if set, is called by the task after each new view.
+	OnView func()
+}
--- /dev/null
+++ b/fleet/reader.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// watchWait bounds one waiting watch. It also bounds how long a connection
+	// that went silent is trusted; every watch is a priced call.
+	watchWait = 1500 * time.Millisecond
+	// watchSlack is how much later than watchWait an answer may come. The store's
+	// usual answer takes 4 ms, a slow one some hundred.
+	watchSlack = 900 * time.Millisecond
+	// listTimeout bounds a full listing.
+	listTimeout = 3 * time.Second
+	// firstBackoff and maxBackoff bound the time between failed calls, so that
+	// the store's return is seen within half a second.
+	firstBackoff = 40 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+	// outageAfter is how long without an answer counts as an outage, in which
+	// entries of living targets may expire.
+	outageAfter = watchWait + watchSlack
+)
+
+// readReport is what the reader tells the task after each call.
+type readReport struct {
+	listing Listing
+	full    bool
+	// afterOutage is true while removals may come from an outage of the store.
+	afterOutage bool
+	err         error
+}
+
+// reader calls the store until its context ends. It runs in its own goroutine.
+type reader struct {
+	source   Source
+	now      func() time.Duration
+	revision uint64
+	deliver  func(readReport)
+	answered time.Duration // last successful call
+	failed   bool
+	lapses   time.Duration // removals count as lapsed until then
+}
+
+func (r *reader) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		report := r.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		r.deliver(report)
+		if report.err == nil {
+			backoff = firstBackoff
+			continue
+		}
+		r.source.Reset()
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// step makes one call.
+func (r *reader) step(ctx context.Context) readReport {
+	var report readReport
+	if r.revision == 0 {
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		report.full = true
+		report.listing, report.err = r.source.List(call)
+	} else {
+		call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		defer cancel()
+		report.listing, report.err = r.source.Watch(call, r.revision, watchWait)
+	}
+	if errors.Is(report.err, ErrHistoryGone) {
+		r.revision = 0
+		return r.step(ctx)
+	}
+	if report.err != nil {
+		r.failed = true
+		return report
+	}
+	now := r.now()
+	if r.failed && now-r.answered > outageAfter {
+		r.lapses = now + outageAfter
+	}
+	r.answered, r.failed = now, false
+	r.revision = report.listing.Revision
+	report.afterOutage = now < r.lapses
+	return report
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/fleet/service.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/owner"
+	"github.com/dogwoodroute/dogwoodroute/peerapi"
+)
+
+// service answers peers.
+type service struct {
+	peerapi.UnimplementedFleetServer
+	task *Task
+}
+
+// Exchange implements peerapi.FleetServer.
+func (s *service) Exchange(ctx context.Context, state *peerapi.FleetState) (*peerapi.FleetState, error) {
+	answer, err := owner.Ask(ctx, s.task.loop, func(now time.Duration) *peerapi.FleetState {
+		s.task.merge(now, state)
+		return s.task.state(state.GetRevision(), true)
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/transport"
+)
+
+// maxAnswerBytes bounds a target's answer, which is held until it is complete.
+const maxAnswerBytes = 16 << 20
+
+// attempt is one send to one target.
+type attempt struct {
+	grant
+	number int
+	// over is set once the ending is known.
+	over bool
+	ending
+}
+
+// ending is how an attempt ended.
+type ending struct {
+	outcome attemptOutcome
+	answer  *answer // the target's, if it may be passed on
+	err     error
+	ended   time.Duration
+}
+
+// attemptOutcome names an ending.
+type attemptOutcome string
+
+// Outcomes of attempts. The empty one is that of an attempt under way.
+const (
+	attemptServed   attemptOutcome = "served"
+	attemptError    attemptOutcome = "error"    // the target's own failure
+	attemptRejected attemptOutcome = "rejected" // the target did not run it
+	attemptNotSent  attemptOutcome = "not-sent"
+	attemptBroken   attemptOutcome = "broken"  // no answer, or not a whole one
+	attemptSpoiled  attemptOutcome = "spoiled" // an answer that is not the target's
+	attemptEnded    attemptOutcome = "ended"   // cancelled: time over, caller gone, or another answer won
+)
+
+// safeToRepeat reports whether the request certainly did not run.
+func (o attemptOutcome) safeToRepeat() bool { return o == attemptRejected || o == attemptNotSent }
+
+// send makes the attempt and returns how it ended.
+func (x *exchange) send(ctx context.Context, message *transport.Attempt) ending {
+	g := x.gateway
+	response, err := g.client.Do(ctx, message)
+	if err == nil {
+		var body []byte
+		body, err = readAll(response.Body, maxAnswerBytes)
+		_ = response.Body.Close() // the read told whether the answer is whole
+		if err == nil {
+			e := x.judge(response, body)
+			e.ended = g.options.Now()
+			return e
+		}
+	}
+	e := ending{outcome: attemptBroken, err: err, ended: g.options.Now()}
+	var failed *transport.Error
+	switch {
+	case errors.As(err, &failed) && failed.NotSent:
+		e.outcome = attemptNotSent
+	case ctx.Err() != nil:
+		e.outcome = attemptEnded
+	}
+	return e
+}
+
+// message returns what is sent to the target.
+func (x *exchange) message(a *attempt) *transport.Attempt {
+	d := &x.gateway.options.Dialect
+	header := maps.Clone(x.caller.Header)
+	header[d.Expected] = []string{a.Target.ID}
+	left := max(0, (x.limit - x.gateway.options.Now()).Milliseconds())
+	header[d.Deadline] = []string{strconv.FormatInt(left, 10)}
+	return &transport.Attempt{Target: a.Target.ID, Address: a.Target.Address, Method: x.caller.Method,
+		URI: x.caller.RequestURI, Host: x.caller.Host, Header: header, Body: x.body, EchoHeader: d.RequestID}
+}
+
+// judge decides what a whole answer of a target means.
+func (x *exchange) judge(response *http.Response, body []byte) ending {
+	d := &x.gateway.options.Dialect
+	signed := response.Header.Get(d.Signature) != ""
+	status := response.StatusCode
+	passed := &answer{status: status, header: response.Header, body: body, outcome: outcomeTargetError}
+	switch {
+	case status == http.StatusMisdirectedRequest || response.Header.Get(d.NotRun) != "":
+		return ending{outcome: attemptRejected}
+	case status < 300 && !signed:
+		return ending{outcome: attemptSpoiled}
+	case promisesNotRun(status):
+		return ending{outcome: attemptError} // it may have run, so the status must not be passed on
+	case status < 500:
+		passed.outcome = outcomeServed
+		return ending{outcome: attemptServed, answer: passed}
+	default:
+		return ending{outcome: attemptError, answer: passed}
+	}
+}
+
+// promisesNotRun reports whether callers take the status as a statement that
+// the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// result is what the placement learns from the end of an attempt that was sent
+// at a moment.
+func (e *ending) result(sent time.Duration) placement.Result {
+	r := placement.Result{Took: e.ended - sent}
+	switch e.outcome {
+	case attemptServed:
+		r.Answered = true
+	case attemptError, attemptSpoiled:
+		r.Failed = true
+	case attemptBroken:
+		r.Failed, r.Gone = true, true
+	case attemptNotSent:
+		r.Failed = !errors.Is(e.err, context.Canceled)
+		r.Gone = r.Failed
+	}
+	return r
+}
+
+// readAll reads a body whose size is bounded.
+func readAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, errors.Errorf("the answer is over %d bytes", limit)
+	}
+	return data, err
+}
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// readBody reads the request's body whole: it is sent to a target only once it
+// is complete, and may be sent again.
+func (x *exchange) readBody() *answer {
+	limit := x.view.Config.Limits.BodyBytes
+	if limit > 0 && x.caller.ContentLength > limit {
+		return &answer{status: http.StatusRequestEntityTooLarge, outcome: outcomeTooLarge}
+	}
+	if x.caller.ContentLength == 0 {
+		return nil
+	}
+	var buffer bytes.Buffer
+	if n := x.caller.ContentLength; n > 0 {
+		if !x.hold(n) {
+			return notRun(outcomeNoRoom, coldRetryAfter)
+		}
+		buffer.Grow(int(n) + bytes.MinRead)
+	}
+	source := io.Reader(x.caller.Body)
+	if limit > 0 {
+		source = io.LimitReader(source, limit+1)
+	}
+	for {
+		n, err := io.CopyN(&buffer, source, bodyStep)
+		if extra := int64(buffer.Len()) - x.held; extra > 0 && !x.hold(extra) {
+			return notRun(outcomeNoRoom, coldRetryAfter)
+		}
+		if limit > 0 && int64(buffer.Len()) > limit {
+			return &answer{status: http.StatusRequestEntityTooLarge, outcome: outcomeTooLarge}
+		}
+		if err == io.EOF {
+			x.body = buffer.Bytes()
+			return nil
+		}
+		if err != nil || n == 0 {
+			return &answer{status: http.StatusBadRequest, outcome: outcomeBadRequest}
+		}
+	}
+}
+
+// bodyStep is how many bytes are read between checks of the memory in use.
+const bodyStep = 64 << 10
+
+// hold counts bytes of the body, or reports false when too many are held.
+func (x *exchange) hold(n int64) bool {
+	x.held += n
+	return x.gateway.held.Add(n) <= x.gateway.options.BodyBytes
+}
+
+func (x *exchange) releaseBody() { x.gateway.held.Add(-x.held) }
--- /dev/null
+++ b/gateway/desk.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/owner"
+	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/retry"
+)
+
+// deskTick is how often an idle desk wakes up. Nothing in it depends on ticks.
+const deskTick = time.Minute
+
+// desk is the goroutine that owns the decision state. Its methods are safe for
+// concurrent use and fail only once it has stopped.
+type desk struct {
+	loop      *owner.Loop
+	placer    *placement.Placer
+	splitter  *catalog.Splitter
+	budget    Budget
+	instances func() int
+	shares    map[string]*retry.Share // by service
+}
+
+func newDesk(o Options) *desk {
+	return &desk{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
+		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances,
+		shares: make(map[string]*retry.Share)}
+}
+
+func (d *desk) run(ctx context.Context) { d.loop.Run(ctx, deskTick, func(time.Duration) {}) }
+
+func (d *desk) setTargets(services map[string][]*catalog.Target) {
+	d.loop.Post(func(now time.Duration) { d.placer.SetTargets(now, services) })
+}
+
+func (d *desk) setBudget(b Budget) {
+	d.loop.Post(func(time.Duration) {
+		d.budget = b
+		for _, s := range d.shares {
+			s.Ratio, s.Allowance = b.Ratio, b.Allowance
+		}
+	})
+}
+
+func (d *desk) share(service string) *retry.Share {
+	s := d.shares[service]
+	if s == nil {
+		s = &retry.Share{Ratio: d.budget.Ratio, Allowance: d.budget.Allowance, Window: d.budget.Window}
+		d.shares[service] = s
+	}
+	return s
+}
+
+// admit picks the part of the route and counts the request.
+func (d *desk) admit(ctx context.Context, route *catalog.Route) (service string, known bool, err error) {
+	known, err = owner.Ask(ctx, d.loop, func(now time.Duration) bool {
+		service = d.splitter.Next(route)
+		d.share(service).Request(now)
+		return d.placer.Known(service)
+	})
+	return service, known, err
+}
+
+func (d *desk) sample(ctx context.Context, r *placement.Request, far bool) ([]*catalog.Target, error) {
+	return owner.Ask(ctx, d.loop, func(now time.Duration) []*catalog.Target { return d.placer.Sample(now, r, far) })
+}
+
+func (d *desk) probed(id catalog.Incarnation, answered bool) {
+	d.loop.Post(func(now time.Duration) { d.placer.Probed(now, id, answered) })
+}
+
+func (d *desk) good(ctx context.Context, r *placement.Request, reports []placement.Report) (bool, error) {
+	return owner.Ask(ctx, d.loop, func(now time.Duration) bool { return d.placer.Good(now, r, reports) })
+}
+
+// grant is a choice whose send has been counted.
+type grant struct {
+	placement.Choice
+	sent time.Duration
+	ok   bool
+}
+
+// choose picks a target and counts the send. A repeat also takes from the
+// service's budget.
+func (d *desk) choose(ctx context.Context, r *placement.Request, reports []placement.Report, repeat bool) (grant, error) {
+	return owner.Ask(ctx, d.loop, func(now time.Duration) grant {
+		choice, ok := d.placer.Choose(now, r, reports)
+		if !ok || repeat && !d.share(r.Service).Take(now, d.instances()) {
+			return grant{}
+		}
+		d.placer.Sent(now, choice.Target.Incarnation())
+		return grant{Choice: choice, sent: now, ok: true}
+	})
+}
+
+func (d *desk) ended(g grant, route *catalog.Route, result placement.Result) {
+	d.loop.Post(func(now time.Duration) {
+		d.placer.Ended(now, g.Target.Incarnation(), g.sent, route, g.Choice, result)
+	})
+}
+
+// patience returns how long the request may wait for room and when a refused
+// caller should come back.
+func (d *desk) patience(ctx context.Context, r *placement.Request) (hold, retryAfter time.Duration, err error) {
+	hold, err = owner.Ask(ctx, d.loop, func(time.Duration) time.Duration {
+		retryAfter = d.placer.RetryAfter(r)
+		return d.placer.Hold(r)
+	})
+	return hold, retryAfter, err
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/placement"
+)
+
+const (
+	// defaultPatience is the time given to a request without a deadline on a
+	// route without a time-out.
+	defaultPatience = 10 * time.Second
+	// coldRetryAfter is when a caller should come back to an instance that has
+	// just started: peers or the store answer within a fraction of a second.
+	coldRetryAfter = 300 * time.Millisecond
+)
+
+// exchange is one request of a caller. Its own goroutine owns it.
+type exchange struct {
+	gateway  *Gateway
+	caller   *http.Request
+	id       string
+	arrived  time.Duration
+	view     *catalog.View
+	request  placement.Request
+	body     []byte
+	held     int64
+	attempts []*attempt
+	answer   *answer
+	writeErr error
+	// limit is when the request gets its final answer.
+	limit time.Duration
+}
+
+// serve returns the answer, or nil when the caller has gone.
+func (x *exchange) serve() *answer {
+	g := x.gateway
+	x.view = g.options.View()
+	if x.view.Config == nil {
+		return notRun(outcomeNoConfig, coldRetryAfter)
+	}
+	path, _, _ := strings.Cut(x.caller.RequestURI, "?")
+	route := x.view.Routes.Match(x.caller.Host, path)
+	if route == nil {
+		return &answer{status: http.StatusNotFound, outcome: outcomeNoRoute}
+	}
+	x.setDeadline(route)
+	defer x.releaseBody()
+	if refused := x.readBody(); refused != nil {
+		return refused
+	}
+	service, known, err := g.desk.admit(x.caller.Context(), route)
+	if err != nil {
+		return x.interrupted()
+	}
+	x.request.Service = service
+	if !known {
+		return notRun(outcomeNoTarget, coldRetryAfter)
+	}
+	ctx, cancel := context.WithTimeout(x.caller.Context(), x.limit-g.options.Now())
+	defer cancel()
+	return x.run(ctx)
+}
+
+// setDeadline derives the times of the request from the caller's deadline and
+// the route's time-out.
+func (x *exchange) setDeadline(route *catalog.Route) {
+	patience := time.Duration(math.MaxInt64)
+	if ms, err := strconv.ParseFloat(x.caller.Header.Get(x.gateway.options.Dialect.Deadline), 64); err == nil &&
+		ms >= 0 && ms < 1e9 {
+		patience = time.Duration(ms * float64(time.Millisecond))
+	}
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	if patience == math.MaxInt64 {
+		patience = defaultPatience
+	}
+	x.limit = x.arrived + patience
+	x.request = placement.Request{Route: route, Arrived: x.arrived, Deadline: x.limit}
+}
+
+// interrupted returns the answer after the caller left or the process stopped
+// before anything was sent.
+func (x *exchange) interrupted() *answer {
+	if x.caller.Context().Err() != nil {
+		return nil
+	}
+	return notRun(outcomeStopped, coldRetryAfter)
+}
--- /dev/null
+++ b/gateway/find.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/transport"
+)
+
+const (
+	// nearPatience and farPatience bound how long a choice waits for load
+	// reports. A target answers at once; the way there and back takes up to 3 ms
+	// between failure domains.
+	nearPatience = 6 * time.Millisecond
+	farPatience  = 12 * time.Millisecond
+	// probeTimeout bounds a probe. After it the connection counts as silent.
+	probeTimeout = 150 * time.Millisecond
+	// firstPause and maxPause are the times between two searches for room.
+	firstPause = 8 * time.Millisecond
+	maxPause   = 40 * time.Millisecond
+	// maxProbeBytes bounds the body of a probe's answer.
+	maxProbeBytes = 4 << 10
+)
+
+// selection is the result of a search for a target.
+type selection struct {
+	grant
+	refused *answer
+}
+
+// find asks targets for their load until one can take the request or the
+// request has waited for too long.
+func (x *exchange) find(ctx context.Context, r *placement.Request, repeat bool) selection {
+	g := x.gateway
+	hold, retryAfter, err := g.desk.patience(ctx, r)
+	if err != nil {
+		return selection{refused: x.failedSearch()}
+	}
+	started := g.options.Now()
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		reports, err := x.survey(ctx, r)
+		if err != nil {
+			return selection{refused: x.failedSearch()}
+		}
+		granted, err := g.desk.choose(ctx, r, reports, repeat)
+		if err != nil {
+			return selection{refused: x.failedSearch()}
+		}
+		if granted.ok {
+			return selection{grant: granted}
+		}
+		now := g.options.Now()
+		if repeat || now+pause-started > hold || now+pause > r.Deadline {
+			return selection{refused: notRun(outcomeNoRoom, retryAfter)}
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (x *exchange) failedSearch() *answer { return notRun(outcomeStopped, coldRetryAfter) }
+
+// survey asks targets of the own failure domain and, unless one of them is
+// good, of the others.
+func (x *exchange) survey(ctx context.Context, r *placement.Request) ([]placement.Report, error) {
+	g := x.gateway
+	near, err := g.desk.sample(ctx, r, false)
+	if err != nil {
+		return nil, err
+	}
+	answers := make(chan placement.Report, 16)
+	reports := x.ask(ctx, near, answers, nil, nearPatience)
+	good, err := g.desk.good(ctx, r, reports)
+	if err != nil || good {
+		return reports, err
+	}
+	far, err := g.desk.sample(ctx, r, true)
+	if err != nil {
+		return nil, err
+	}
+	return x.ask(ctx, far, answers, reports, farPatience), nil
+}
+
+// ask probes targets and adds the reports that arrive in time. A report that
+// arrives later still tells that its target answers.
+func (x *exchange) ask(ctx context.Context, targets []*catalog.Target, answers chan placement.Report,
+	reports []placement.Report, patience time.Duration) []placement.Report {
+	if len(targets) == 0 {
+		return reports
+	}
+	for _, t := range targets {
+		path := "/"
+		if service, ok := x.view.Config.Services[t.Service]; ok && service.HealthPath != "" {
+			path = service.HealthPath
+		}
+		go x.gateway.probe(ctx, t, path, answers)
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for range targets {
+		select {
+		case report := <-answers:
+			if report.Target != nil && report.Load.Slots > 0 {
+				reports = append(reports, report)
+			}
+		case <-timer.C:
+			return reports
+		case <-ctx.Done():
+			return reports
+		}
+	}
+	return reports
+}
+
+// probe asks one target for its load. It outlives the request that asked.
+func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, answers chan<- placement.Report) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	report, ok := g.probeOnce(ctx, t, path)
+	g.desk.probed(t.Incarnation(), ok)
+	select {
+	case answers <- report:
+	default: // nobody waits any more
+	}
+}
+
+func (g *Gateway) probeOnce(ctx context.Context, t *catalog.Target, path string) (placement.Report, bool) {
+	d := &g.options.Dialect
+	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
+	response, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
+		Header: http.Header{d.RequestID: {id}}, EchoHeader: d.RequestID})
+	if err != nil {
+		return placement.Report{}, false
+	}
+	defer func() { _ = response.Body.Close() }() // its errors end the connection only
+	if _, err := readAll(response.Body, maxProbeBytes); err != nil {
+		return placement.Report{}, false
+	}
+	if named := response.Header.Get(d.Identity); named != "" && named != t.ID {
+		return placement.Report{}, false
+	}
+	load, ok := d.ParseLoad(response.Header.Get(d.Load))
+	if !ok { // it answers, but does not tell its load
+		load = placement.Load{Slots: t.Slots, Slowness: 1}
+	}
+	if response.StatusCode != http.StatusOK {
+		return placement.Report{}, false
+	}
+	return placement.Report{Target: t, Load: load, At: g.options.Now()}, true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+)
+
+// Budget bounds repeats over all instances.
+type Budget struct {
+	// Ratio is the part of a service's requests that may be sent once more.
+	Ratio float64
+	// Window is the time over which repeats are counted.
+	Window time.Duration
+	// Allowance is the number of repeats in a window besides.
+	Allowance float64
+}
+
+// Options configure a Gateway. All fields are required.
+type Options struct {
+	Dialect Dialect
+	// FailureDomain is this instance's.
+	FailureDomain string
+	// View returns the present view, never nil.
+	View func() *catalog.View
+	// Instances returns the number of instances that may be alive.
+	Instances func() int
+	// Repeats bounds repeats and hedges.
+	Repeats Budget
+	// BodyBytes bounds the bodies that are held in memory at a time.
+	BodyBytes int64
+	Log       *slog.Logger
+	Metrics   Metrics
+	Random    *rand.Rand
+	// Now returns the time since the start of the process.
+	Now func() time.Duration
+}
+
+// Metrics receives counts and times. Implementations are safe for concurrent use.
+type Metrics interface {
+	// Request counts a finished request of a route and its time.
+	Request(route string, took time.Duration)
+	// Refusal counts a request that ended without a target's success.
+	Refusal(outcome string)
+	// Attempt counts an attempt by its outcome.
+	Attempt(outcome string)
+}
--- /dev/null
+++ b/gateway/report.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"log/slog"
+	"time"
+)
+
+// report writes the line of the request: what was decided, from which inputs,
+// and how it ended.
+func (x *exchange) report() {
+	g := x.gateway
+	took := g.options.Now() - x.arrived
+	ended, level := outcomeGone, slog.LevelInfo
+	status := 0
+	if x.answer != nil {
+		ended, status = x.answer.outcome, x.answer.status
+	}
+	if ended != outcomeServed {
+		level = slog.LevelWarn
+	}
+	route := ""
+	attributes := []slog.Attr{slog.String("id", x.id), slog.String("outcome", string(ended)), slog.Int("status", status),
+		slog.Float64("took_ms", millis(took))}
+	if x.view != nil && x.view.Config != nil {
+		attributes = append(attributes, slog.Int64("config", x.view.Config.Version), slog.Uint64("revision", x.view.Revision))
+	}
+	if x.request.Route != nil {
+		route = x.request.Route.Name
+		attributes = append(attributes, slog.String("route", route), slog.String("service", x.request.Service),
+			slog.Float64("limit_ms", millis(x.limit-x.arrived)))
+	}
+	if x.answer != nil && x.answer.retryAfter > 0 {
+		attributes = append(attributes, slog.Float64("retry_after_ms", millis(x.answer.retryAfter)))
+	}
+	if x.writeErr != nil {
+		attributes = append(attributes, slog.String("write_error", x.writeErr.Error()))
+	}
+	for _, a := range x.attempts {
+		attributes = append(attributes, a.group(x.arrived))
+	}
+	g.options.Metrics.Request(route, took)
+	if ended != outcomeServed {
+		g.options.Metrics.Refusal(string(ended))
+	}
+	g.options.Log.LogAttrs(x.caller.Context(), level, "request", attributes...)
+}
+
+// group describes the attempt: the target, the report that decided, and the end.
+func (a *attempt) group(arrived time.Duration) slog.Attr {
+	fields := []any{slog.String("target", a.Target.ID), slog.String("address", a.Target.Address),
+		slog.Float64("sent_ms", millis(a.sent-arrived)), slog.Int("running", a.Load.Running), slog.Int("waiting", a.Load.Waiting),
+		slog.Float64("slowness", a.Load.Slowness), slog.Float64("load_age_ms", millis(a.Age)),
+		slog.Float64("expected_ms", millis(a.Expected))}
+	if !a.over {
+		return slog.Group("attempt"+string(rune('0'+a.number)), append(fields, slog.String("outcome", "cancelled"))...)
+	}
+	fields = append(fields, slog.String("outcome", string(a.outcome)), slog.Float64("took_ms", millis(a.ended-a.sent)))
+	if a.err != nil {
+		fields = append(fields, slog.String("error", a.err.Error()))
+	}
+	return slog.Group("attempt"+string(rune('0'+a.number)), fields...)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/edgecli/command.go
@@ -0,0 +1,65 @@
+package edgecli
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/dogwoodroute/dogwoodroute/eventlog"
+	"github.com/dogwoodroute/dogwoodroute/node"
+	"github.com/dogwoodroute/dogwoodroute/platform"
+)
+
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// New returns the command line.
+func New() *cobra.Command {
+	var metricsPort int
+	command := &cobra.Command{
+		Use:   "dogwoodroute-edge",
+		Short: "Run one entry instance on a platform with a read-only store",
+		Long: "Run one entry instance on a platform with a read-only store.\n" +
+			"The platform gives the path of the settings file in the environment.",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE:          func(command *cobra.Command, _ []string) error { return run(command.Context(), metricsPort) },
+	}
+	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port that serves metrics on the caller address; 0: none")
+	return command
+}
+
+func run(ctx context.Context, metricsPort int) error {
+	log := eventlog.New(os.Stdout)
+	defer log.Close()
+	logger := log.Logger(slog.LevelInfo)
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return err
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(node.Options{Settings: settings, Source: platform.NewStore(settings.StoreAddress),
+		Decoder: platform.Decoder{}, Dialect: platform.Dialect(), ResolveHandler: platform.ResolveHandler,
+		ReadyHandler: platform.ReadyHandler, MetricsPort: metricsPort, Log: logger})
+	if err != nil {
+		return errors.Wrap(err, "open instance")
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ended := make(chan struct{})
+	defer close(ended)
+	go (&supervisor{node: n, path: path, log: logger}).watch(signals, ended)
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/edgecli/doc.go
@@ -0,0 +1,2 @@
+// Package edgecli is the command line of the instance on the users' platform.
+package edgecli
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/fleet"
+	"github.com/dogwoodroute/dogwoodroute/gateway"
+	"github.com/dogwoodroute/dogwoodroute/metrics"
+)
+
+// bodyShare is the part of the process's memory that callers' bodies may take.
+const bodyShare = 0.25
+
+// Node is one entry instance.
+type Node struct {
+	options  Options
+	settings atomic.Pointer[Settings]
+	gateway  *gateway.Gateway
+	fleet    *fleet.Task
+	metrics  *metrics.Metrics
+	resolver resolver
+	servers  []*server
+	stop     chan struct{}
+	stopped  atomic.Bool
+}
+
+// New opens the sockets of a node.
+func New(o Options) (*Node, error) {
+	n := &Node{options: o, stop: make(chan struct{})}
+	n.settings.Store(o.Settings)
+	started := time.Now()
+	now := func() time.Duration { return time.Since(started) }
+	m, err := metrics.New(o.Settings.ID)
+	if err != nil {
+		return nil, errors.Wrap(err, "make metrics")
+	}
+	n.metrics = m
+	if err := n.openFleet(now); err != nil {
+		return nil, err
+	}
+	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
+		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
+		Repeats: o.Settings.Bounds.repeats(), BodyBytes: int64(bodyShare * float64(o.Settings.MemoryBytes)),
+		Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
+	if err := n.openServers(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (b *Bounds) repeats() gateway.Budget {
+	return gateway.Budget{Ratio: b.RetryRatio, Window: b.RetryWindow, Allowance: b.RetryAllowance}
+}
+
+func (n *Node) openFleet(now func() time.Duration) error {
+	s := n.options.Settings
+	self, err := netip.ParseAddrPort(s.Addresses.Peers)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	listener, err := net.Listen("tcp", s.Addresses.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	seeds := make([]netip.Addr, 0, len(s.Seeds))
+	for _, text := range s.Seeds {
+		seed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errors.Wrapf(err, "seed %q", text)
+		}
+		seeds = append(seeds, seed.Addr())
+	}
+	callers, err := netip.ParseAddrPort(s.Addresses.Callers)
+	if err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port(), validity: min(resolveValidity, s.Bounds.ResolveValidity)}
+	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
+		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), Seeds: seeds,
+		Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: now, OnView: n.viewChanged})
+	return nil
+}
+
+func (n *Node) openServers() error {
+	s := n.options.Settings
+	host, _, err := net.SplitHostPort(s.Addresses.Callers)
+	if err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	resolve := func(o gateway.Origin) ([]string, time.Duration) { return n.resolver.resolve(n.fleet.Snapshot(), o) }
+	n.servers = []*server{
+		newServer("callers", s.Addresses.Callers, n.gateway, n.options.Log),
+		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.options.Log),
+		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.options.Log),
+	}
+	if n.options.MetricsPort > 0 {
+		address := net.JoinHostPort(host, strconv.Itoa(n.options.MetricsPort))
+		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.options.Log))
+	}
+	for _, server := range n.servers {
+		if err := server.listen(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// viewChanged passes a new view on to the gateway.
+func (n *Node) viewChanged() {
+	n.gateway.ViewChanged()
+	n.fleet.SetReady(n.gateway.Ready())
+}
+
+// Reload takes over settings that may change while the process runs: the bounds
+// of repeats. All others need a restart.
+func (n *Node) Reload(s *Settings) {
+	n.settings.Store(s)
+	n.gateway.SetBudget(s.Bounds.repeats())
+	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance)
+}
--- /dev/null
+++ b/node/options.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/fleet"
+	"github.com/dogwoodroute/dogwoodroute/gateway"
+)
+
+// Options configure a Node. All fields but MetricsPort are required.
+type Options struct {
+	Settings *Settings
+	// Source and Decoder read the store.
+	Source  fleet.Source
+	Decoder fleet.Decoder
+	Dialect gateway.Dialect
+	// ResolveHandler and ReadyHandler speak the platform's protocol.
+	ResolveHandler func(resolve func(gateway.Origin) ([]string, time.Duration)) http.Handler
+	ReadyHandler   func(ready func() bool) http.Handler
+	// MetricsPort serves metrics on the instance's address; 0: none are served.
+	MetricsPort int
+	Log         *slog.Logger
+}
--- /dev/null
+++ b/node/server.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// headerTimeout bounds the time to receive a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is above what callers use: they give up an idle connection
+	// before it, so a request never crosses the close.
+	idleTimeout = 75 * time.Second
+	// headerBytes bounds a request's header.
+	headerBytes = 64 << 10
+)
+
+// server is one listening HTTP server.
+type server struct {
+	name     string
+	address  string
+	http     *http.Server
+	listener net.Listener
+}
+
+func newServer(name, address string, handler http.Handler, log *slog.Logger) *server {
+	return &server{name: name, address: address, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
+}
+
+func (s *server) listen() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", s.name)
+	}
+	s.listener = listener
+	return nil
+}
+
+func (s *server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", s.name)
+	}
+	return nil
+}
+
+// shutdown stops accepting and waits for requests in progress.
+func (s *server) shutdown(ctx context.Context) error {
+	return errors.Wrapf(s.http.Shutdown(ctx), "shut down %s", s.name)
+}
--- /dev/null
+++ b/placement/math.go
@@ -0,0 +1,13 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// halved returns 1 halved once per halfLife of elapsed time.
+func halved(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+}
+
+func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
--- /dev/null
+++ b/placement/placer.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+)
+
+// Placer is the decision state of one instance. One goroutine owns it.
+type Placer struct {
+	domain   string
+	random   *rand.Rand
+	targets  map[catalog.Incarnation]*target
+	services map[string][]*target
+	work     map[string]*work // by route
+}
+
+// New returns a placer of an instance in a failure domain.
+func New(domain string, random *rand.Rand) *Placer {
+	return &Placer{domain: domain, random: random, targets: make(map[catalog.Incarnation]*target),
+		services: make(map[string][]*target), work: make(map[string]*work)}
+}
+
+// SetTargets replaces the targets that take new work. What is known of
+// incarnations that stay is kept.
+func (p *Placer) SetTargets(now time.Duration, services map[string][]*catalog.Target) {
+	targets := make(map[catalog.Incarnation]*target)
+	p.services = make(map[string][]*target, len(services))
+	for name, list := range services {
+		for _, entry := range list {
+			t := p.targets[entry.Incarnation()]
+			if t == nil {
+				t = &target{warm: now + entry.WarmupLeft}
+			}
+			t.Target = entry
+			targets[entry.Incarnation()] = t
+			p.services[name] = append(p.services[name], t)
+		}
+	}
+	p.targets = targets
+}
+
+// Known reports whether the service has targets that take new work.
+func (p *Placer) Known(service string) bool { return len(p.services[service]) > 0 }
+
+// Probed notes whether a target answered a probe or accepted a connection.
+func (p *Placer) Probed(now time.Duration, id catalog.Incarnation, answered bool) {
+	t := p.targets[id]
+	if t == nil {
+		return
+	}
+	if answered {
+		t.answered()
+	} else {
+		t.missed(now)
+	}
+}
+
+// Sent notes that a request goes to a target.
+func (p *Placer) Sent(now time.Duration, id catalog.Incarnation) {
+	if t := p.targets[id]; t != nil {
+		t.sends = append(t.sends, now)
+	}
+}
+
+// Result is how a request at a target ended.
+type Result struct {
+	// Answered is true when the target ran the request and its answer arrived.
+	Answered bool
+	// Failed is true when the target is to blame: an error, a broken connection,
+	// a spoiled answer.
+	Failed bool
+	// Gone is true when the target broke off without an answer.
+	Gone bool
+	// Took is the time from the send to the answer.
+	Took time.Duration
+}
+
+// Ended notes the end of a request that was sent at a moment.
+func (p *Placer) Ended(now time.Duration, id catalog.Incarnation, sent time.Duration, route *catalog.Route, c Choice, r Result) {
+	t := p.targets[id]
+	if t == nil {
+		return
+	}
+	for i, at := range t.sends {
+		if at == sent {
+			t.sends = append(t.sends[:i], t.sends[i+1:]...)
+			break
+		}
+	}
+	switch {
+	case r.Failed:
+		t.observe(now, true)
+		if r.Gone {
+			t.missed(now)
+		}
+	case r.Answered:
+		t.observe(now, false)
+		p.workOf(route).observe(r.Took, c.Factor)
+	}
+}
+
+func (p *Placer) workOf(route *catalog.Route) *work {
+	w := p.work[route.Name]
+	if w == nil {
+		mean := scale(max(route.Objective, 10*time.Millisecond), firstWorkShare)
+		w = &work{mean: mean, spread: scale(mean, spreadShare)}
+		p.work[route.Name] = w
+	}
+	return w
+}
--- /dev/null
+++ b/placement/request.go
@@ -0,0 +1,27 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+)
+
+// Request is what a decision needs to know of a caller's request.
+type Request struct {
+	Route   *catalog.Route
+	Service string
+	// Arrived is when the request was received, Deadline when its answer has no
+	// more use.
+	Arrived, Deadline time.Duration
+	// Tried are the targets that have got it, which are not asked again.
+	Tried []catalog.Incarnation
+}
+
+// objective returns the route's objective, or half of the time that the caller
+// gives when there is none.
+func (r *Request) objective() time.Duration {
+	if r.Route.Objective > 0 {
+		return r.Route.Objective
+	}
+	return (r.Deadline - r.Arrived) / 2
+}
--- /dev/null
+++ b/retry/share.go
@@ -0,0 +1,66 @@
+package retry
+
+import "time"
+
+const (
+	// shareMargin is the part of a fleet-wide budget that the shares of all
+	// instances use; the rest covers instances whose windows are apart.
+	shareMargin = 0.85
+	shareSlots  = 20
+)
+
+// Share is one instance's share of a fleet-wide budget of repeats: in each
+// window, a ratio of the requests plus a fixed allowance, which is divided over
+// the instances. The allowance is granted after the first whole window only,
+// since a restarted process does not know what it had used. One goroutine owns
+// it.
+type Share struct {
+	// Ratio is the part of the requests that may be sent once more.
+	Ratio float64
+	// Allowance is the number of repeats that the fleet may send besides.
+	Allowance float64
+	// Window is the time over which both are counted.
+	Window time.Duration
+
+	requests, repeats [2 * shareSlots]int
+	slot              int
+}
+
+// Request counts a request of a caller.
+func (s *Share) Request(now time.Duration) {
+	s.advance(now)
+	s.requests[s.slot%len(s.requests)]++
+}
+
+// Take spends one repeat, or reports false when the share has none. instances
+// is the number of instances that may be alive.
+func (s *Share) Take(now time.Duration, instances int) bool {
+	s.advance(now)
+	requests, repeats := 0, 0
+	for i := range shareSlots + 1 {
+		at := (s.slot - i + len(s.repeats)) % len(s.repeats)
+		repeats += s.repeats[at]
+		if i < shareSlots {
+			requests += s.requests[at]
+		}
+	}
+	budget := s.Ratio * float64(requests)
+	if now >= s.Window {
+		budget += s.Allowance / float64(max(1, instances))
+	}
+	if float64(repeats+1) > shareMargin*budget {
+		return false
+	}
+	s.repeats[s.slot%len(s.repeats)]++
+	return true
+}
+
+// advance clears the slots of times that have passed unseen.
+func (s *Share) advance(now time.Duration) {
+	slot := int(now / (s.Window / shareSlots))
+	for n := 0; s.slot < slot && n < len(s.requests); n++ {
+		s.slot++
+		s.requests[s.slot%len(s.requests)], s.repeats[s.slot%len(s.repeats)] = 0, 0
+	}
+	s.slot = max(s.slot, slot)
+}
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -23,4 +23,8 @@
 	// Fresh asks for a connection without an earlier exchange, so that a failure
 	// cannot come from one that the target had closed before.
 	Fresh bool
+	// EchoHeader names a header that the target copies from the request. An
+	// answer that bears another value belongs to an earlier request and is
+	// skipped. Empty: no check.
+	EchoHeader string
 }
--- a/transport/body.go
+++ b/transport/body.go
@@ -78,7 +78,7 @@
 		return CloseUnfinished, false
 	case b.response.Close || !b.response.ProtoAtLeast(1, 1):
 		return CloseAsked, false
-	case b.conn.in.Buffered() > 0:
+	case b.conn.in.Buffered() > 0 || b.conn.surplus:
 		return CloseSurplus, false
 	default:
 		return 0, true
--- a/transport/client.go
+++ b/transport/client.go
@@ -20,6 +20,10 @@
 	DefaultHeadBytes    = 64 << 10
 	// maxInformational bounds the 1xx answers before one answer.
 	maxInformational = 8
+	// maxLateAnswers bounds the answers to earlier requests before one answer,
+	// and maxLateBytes the body of each.
+	maxLateAnswers = 2
+	maxLateBytes   = 1 << 20
 )
 
 // Options configure a Client. All fields have defaults.
@@ -118,13 +122,37 @@
 	if err != nil {
 		return nil, &Error{Step: StepSend, Target: a.Target, NotSent: conn.wrote == 0, Err: err}
 	}
-	response, err := c.readHead(conn, a.Method)
+	response, err := c.readOwn(conn, a)
 	if err != nil {
 		return nil, &Error{Step: StepHead, Target: a.Target, Err: err}
 	}
 	return response, nil
 }
 
+// readOwn reads the head of the answer to this attempt. A target may send a
+// second answer to an earlier request late; it is read to its end and dropped.
+func (c *Client) readOwn(conn *conn, a *Attempt) (*http.Response, error) {
+	for range maxLateAnswers + 1 {
+		response, err := c.readHead(conn, a.Method)
+		if err != nil || a.EchoHeader == "" {
+			return response, err
+		}
+		echo := response.Header.Get(a.EchoHeader)
+		if echo == "" || echo == a.Header.Get(a.EchoHeader) {
+			conn.keepAlive(response.Header)
+			return response, nil
+		}
+		conn.surplus = true
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateBytes)); err != nil {
+			return nil, errors.Wrap(err, "skip a late answer")
+		}
+		if response.Close {
+			return nil, errors.New("the connection ended with a late answer")
+		}
+	}
+	return nil, errors.New("too many late answers")
+}
+
 // readHead reads the answer's head and skips 1xx answers.
 func (c *Client) readHead(conn *conn, method string) (*http.Response, error) {
 	conn.request.Method = method
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -28,9 +30,14 @@
 	wrote     int64
 	used      bool
 	idleSince time.Time
-	stale     bool
-	peek      func(fd uintptr) bool
-	kill      func()
+	// idleLimit is how long the target keeps the connection open unused, less a
+	// margin. Zero: it did not say.
+	idleLimit time.Duration
+	// surplus is set once an answer to another request was read from it.
+	surplus bool
+	stale   bool
+	peek    func(fd uintptr) bool
+	kill    func()
 }
 
 func newConn(address string, c net.Conn) *conn {
@@ -45,6 +52,25 @@
 	return nc
 }
 
+// idleMargin is how long before the target's own idle timeout a connection is
+// no longer used: the target may close it while a request is on its way.
+const idleMargin = time.Second
+
+// keepAlive notes the idle timeout that the target announces, in whole seconds.
+func (c *conn) keepAlive(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if n, err := strconv.Atoi(value); err == nil && n > 0 && strings.EqualFold(name, "timeout") {
+			c.idleLimit = max(time.Duration(n)*time.Second-idleMargin, idleMargin/2)
+		}
+	}
+}
+
+// expired reports whether the idle connection is too old to be used.
+func (c *conn) expired(now time.Time) bool {
+	return c.idleLimit > 0 && now.Sub(c.idleSince) >= c.idleLimit
+}
+
 // begin prepares an exchange whose deadline is the context's.
 func (c *conn) begin(ctx context.Context) error {
 	c.wrote, c.limited = 0, false
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -36,7 +36,7 @@
 func (p *pool) get(ctx context.Context, address string, fresh bool) (*conn, string, error) {
 	for {
 		c, step, err := p.take(ctx, address)
-		if err != nil || !c.used || (!fresh && !c.closedWhileIdle()) {
+		if err != nil || !c.used || (!fresh && !c.expired(time.Now()) && !c.closedWhileIdle()) {
 			return c, step, err
 		}
 		p.discard(c, CloseStale)
