Keep idle connections whose last exchange had a deadline

Cause: an exchange sets its deadline on the connection, and the check for closed idle connections read with that deadline: once it had passed, the read failed and the connection counted as closed. With probes of 150 ms nearly every probe opened a new one. Ruled out: the target's idle timeout (connections were 0.2 to 1.8 s old of 9 s), the peek itself (it never returned anything but EAGAIN; trial with prints). Change: the check clears the deadline first. TestPassedDeadlineKeepsConnection failed before.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -84,6 +84,10 @@
 	if c.raw == nil || c.in.Buffered() > 0 {
 		return true
 	}
+	// The deadline of the last exchange may have passed and would fail the read.
+	if err := c.net.SetDeadline(time.Time{}); err != nil {
+		return true
+	}
 	c.stale = true
 	if err := c.raw.Read(c.peek); err != nil {
 		return true
--- /dev/null
+++ b/transport/reuse_test.go
@@ -0,0 +1,68 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/standin"
+	"github.com/dogwoodroute/dogwoodroute/transport"
+)
+
+// Guards against idle connections that count as closed because the deadline of
+// their last exchange has passed: each probe then cost a new connection.
+func TestPassedDeadlineKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, standin.TargetOptions{Slots: 1})
+	client := newClient(t, transport.Options{})
+	ctx := testContext(t)
+	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	_, err := send(short, client, target.Address(), "", "first")
+	is.NoErr(err)
+	<-short.Done()
+	_, err = send(ctx, client, target.Address(), "", "second")
+	is.NoErr(err)
+	is.Equal(client.Counters().Opened, int64(1)) // connections opened
+}
+
+// Guards against the answer to an earlier request being taken for the answer
+// to the present one on the same connection.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	answer := func(w io.Writer, id, body string) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	}
+	address := serveRaw(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		answer(conn, "a", "first")
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		answer(conn, "a", "first again")
+		answer(conn, "b", "second")
+		_, _ = io.Copy(io.Discard, in)
+	})
+	client := newClient(t, transport.Options{})
+	get := func(id string) string {
+		response, err := client.Do(testContext(t), &transport.Attempt{Target: "t", Address: address, Method: http.MethodGet,
+			URI: "/", Header: http.Header{"X-Id": {id}}, EchoHeader: "X-Id"})
+		is.NoErr(err)
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		return string(body)
+	}
+	is.Equal(get("a"), "first")
+	is.Equal(get("b"), "second")
+	is.Equal(client.Counters().Closed[transport.CloseSurplus], int64(1)) // not used again
+}
