Use targets up to their knee, bound probes, tell changes by failure domain

Change: requests wait for room below the knee while their objective can be met, then take what meets the deadline; hedges go to idle targets only and use at most 70% of the budget of repeats; probes are taken from a share of the bound, without one the choice is blind; changes stay within failure domains but for two instances of each other one. Errors of shutdown are reported only when there are any.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -7,7 +7,8 @@
 // no reader with recent answers from the store reads for itself after a delay
 // that depends on its place in that order, so one steps in at a time.
 //
-// Instances exchange state in pairs. The ones that run are found from a few
-// seeds that may be down. Exchanges with peers of the own failure domain are
-// more frequent, since bytes between failure domains cost more.
+// Instances exchange state in pairs, at random and mostly within their failure
+// domain, since bytes between domains cost more. A reader tells its own domain
+// and a few instances of each other domain of a change at once, and those tell
+// theirs. The instances that run are found from a few seeds that may be down.
 package fleet
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -11,18 +11,25 @@
 
 const (
 	// exchangeInterval is the time between exchanges that an instance starts.
-	exchangeInterval = 200 * time.Millisecond
-	// fanout bounds the peers that are told of a change at once. Above it, those
+	exchangeInterval = 250 * time.Millisecond
+	// fanout bounds the peers of the own failure domain that are told of a change
+	// at once by the first instance that knows it there. In larger domains, those
 	// tell relayFanout others each.
 	fanout      = 24
 	relayFanout = 3
+	// remoteFanout is how many peers of each other failure domain the instance
+	// that read a change tells; they tell the rest of their domain, so that most
+	// bytes stay within domains.
+	remoteFanout = 2
+	// spreadDelay gathers changes that arrive together into one message.
+	spreadDelay = 30 * time.Millisecond
 	// passedOn bounds the members that one exchange tells of.
 	passedOn = 10
-	// nearShare is the share of exchanges that stay in the failure domain.
-	nearShare = 0.5
-	// searchEvery is every how many rounds an instance contacts a seed or a
+	// farEvery is every how many rounds an exchange leaves the failure domain.
+	farEvery = 4
+	// searchEvery is every how many rounds an instance also contacts a seed or a
 	// silent peer, so that separated parts find each other.
-	searchEvery = 5
+	searchEvery = 6
 )
 
 // startRound starts the exchanges that are due.
@@ -35,19 +42,25 @@
 	}
 	if t.round%searchEvery == 0 {
 		t.search(now, false)
-		return
 	}
-	if t.round%2 == 0 {
-		if readers := selectPeers(live, func(p *peer) bool { return p.State.Has(Reading) }); len(readers) > 0 {
-			t.contact(now, readers[rand.IntN(len(readers))].IP)
-			return
-		}
+	near, far := t.byDomain(live)
+	list := near
+	if t.round%farEvery == 0 && len(far) > 0 || len(near) == 0 {
+		list = far
 	}
-	if near := selectPeers(live, func(p *peer) bool { return p.Domain == t.options.Domain }); len(near) > 0 &&
-		rand.Float64() < nearShare {
-		live = near
+	t.contact(now, list[rand.IntN(len(list))].IP)
+}
+
+// byDomain divides peers into those of the own failure domain and others.
+func (t *Task) byDomain(list []*peer) (near, far []*peer) {
+	for _, p := range list {
+		if p.Domain == t.options.Domain {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
 	}
-	t.contact(now, live[rand.IntN(len(live))].IP)
+	return near, far
 }
 
 // search contacts one seed or silent peer, or all seeds.
@@ -73,23 +86,52 @@
 	t.contact(now, unknown[rand.IntN(len(unknown))])
 }
 
-// spread tells peers of a change at once.
-func (t *Task) spread(now time.Duration) {
-	t.tell(now, fanout)
+// reach is how far a change is told.
+type reach int
+
+// Reaches, from the least.
+const (
+	relayed  reach = iota // a few of the own failure domain
+	inDomain              // the own failure domain
+	inFleet               // also a few instances of each other domain
+)
+
+// spread tells peers of a change soon.
+func (t *Task) spread(r reach) {
+	t.reach = max(t.reach, r)
+	if t.spreading {
+		return
+	}
+	t.spreading = true
+	time.AfterFunc(spreadDelay, func() { t.loop.Post(t.spreadNow) })
 }
 
-// relay passes a change on in fleets that are too large for one fanout.
-func (t *Task) relay(now time.Duration) {
-	if len(t.roster.peers) > fanout {
-		t.tell(now, relayFanout)
+func (t *Task) spreadNow(now time.Duration) {
+	reach := t.reach
+	t.spreading, t.reach = false, relayed
+	near, far := t.byDomain(t.roster.livePeers(now))
+	limit := fanout
+	if reach == relayed {
+		limit = relayFanout
+		if len(near) < fanout {
+			limit = 0 // the one that knew first has told all
+		}
+	}
+	t.tell(now, near, limit)
+	if reach == inFleet {
+		t.tell(now, far, remoteFanout)
 	}
 }
 
-func (t *Task) tell(now time.Duration, n int) {
-	live := t.roster.livePeers(now)
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	for _, p := range live[:min(n, len(live))] {
-		t.contact(now, p.IP)
+// tell contacts up to limit peers of each failure domain.
+func (t *Task) tell(now time.Duration, list []*peer, limit int) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	told := make(map[int]int)
+	for _, p := range list {
+		if told[p.Domain] < limit {
+			told[p.Domain]++
+			t.contact(now, p.IP)
+		}
 	}
 }
 
@@ -201,16 +243,10 @@
 	}
 	if len(news) > 0 {
 		t.apply(now, news)
-		t.relay(now)
-	}
-}
-
-func selectPeers(list []*peer, keep func(*peer) bool) []*peer {
-	var kept []*peer
-	for _, p := range list {
-		if keep(p) {
-			kept = append(kept, p)
+		if sender := t.roster.peers[sender]; sender != nil && sender.Domain != t.options.Domain {
+			t.spread(inDomain)
+		} else {
+			t.spread(relayed)
 		}
 	}
-	return kept
 }
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -11,8 +11,8 @@
 	// one of them is killed; more would cost calls.
 	wantedReaders = 2
 	// readerSilence is how long an instance waits for news of a reader before it
-	// reads for itself. Heartbeats of a reader arrive about every 300 ms.
-	readerSilence = 900 * time.Millisecond
+	// reads for itself. News of a reader arrive within about a second.
+	readerSilence = 1200 * time.Millisecond
 	// takeoverStep keeps instances apart that miss the same reader.
 	takeoverStep = 120 * time.Millisecond
 	// startDelay gives peers time to answer before a new instance reads the store.
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -52,6 +52,8 @@
 	busy       map[netip.Addr]bool // peers with an exchange under way
 	again      map[netip.Addr]bool // peers to contact again once it is over
 	orphaned   bool                // no reader has been heard lately
+	spreading  bool                // peers are told of a change soon
+	reach      reach               // which ones
 }
 
 // New returns a task that Run starts.
@@ -72,19 +74,19 @@
 
 // SetReady tells peers whether this instance can serve callers.
 func (t *Task) SetReady(ready bool) {
-	t.loop.Post(func(now time.Duration) {
+	t.loop.Post(func(time.Duration) {
 		if t.setState(Ready, ready) {
-			t.spread(now)
+			t.spread(inFleet)
 		}
 	})
 }
 
 // Leave tells peers that this instance stops.
 func (t *Task) Leave() {
-	t.loop.Post(func(now time.Duration) {
+	t.loop.Post(func(time.Duration) {
 		if t.setState(Leaving, true) {
 			t.setState(Ready, false)
-			t.spread(now)
+			t.spread(inFleet)
 		}
 	})
 }
@@ -106,7 +108,7 @@
 	}()
 	t.loop.Post(t.tick)
 	err := <-failed
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || err == nil {
 		<-t.loop.Done()
 		return nil
 	}
@@ -204,7 +206,7 @@
 	t.steerReader(now)
 	if len(news) > 0 {
 		t.apply(now, news)
-		t.spread(now)
+		t.spread(inFleet)
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,8 @@
 	answer  *answer // the target's, if it may be passed on
 	err     error
 	ended   time.Duration
+	// load is the report that came with the answer; it has no slots without one.
+	load placement.Load
 }
 
 // attemptOutcome names an ending.
@@ -62,6 +64,9 @@
 		if err == nil {
 			e := x.judge(response, body)
 			e.ended = g.options.Now()
+			if load, ok := g.options.Dialect.ParseLoad(response.Header.Get(g.options.Dialect.Load)); ok {
+				e.load = load
+			}
 			return e
 		}
 	}
@@ -127,6 +132,8 @@
 		r.Answered = true
 	case attemptError, attemptSpoiled:
 		r.Failed = true
+	case attemptRejected:
+		r.Rejected = true
 	case attemptBroken:
 		r.Failed, r.Gone = true, true
 	case attemptNotSent:
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -10,30 +10,39 @@
 	"github.com/dogwoodroute/dogwoodroute/retry"
 )
 
-// deskTick is how often an idle desk wakes up. Nothing in it depends on ticks.
-const deskTick = time.Minute
+// deskTick is how often the share of the probe bound follows the number of
+// instances.
+const deskTick = 2 * time.Second
 
 // desk is the goroutine that owns the decision state. Its methods are safe for
 // concurrent use and fail only once it has stopped.
 type desk struct {
-	loop      *owner.Loop
-	placer    *placement.Placer
-	splitter  *catalog.Splitter
-	budget    Budget
-	instances func() int
-	shares    map[string]*retry.Share // by service
+	loop            *owner.Loop
+	placer          *placement.Placer
+	splitter        *catalog.Splitter
+	budget          Budget
+	instances       func() int
+	probesPerTarget float64
+	shares          map[string]*retry.Share // by service
 }
 
 func newDesk(o Options) *desk {
 	return &desk{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
-		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances,
+		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances, probesPerTarget: o.ProbesPerTarget,
 		shares: make(map[string]*retry.Share)}
 }
 
-func (d *desk) run(ctx context.Context) { d.loop.Run(ctx, deskTick, func(time.Duration) {}) }
+func (d *desk) run(ctx context.Context) {
+	d.loop.Run(ctx, deskTick, func(now time.Duration) {
+		d.placer.SetProbeBound(now, d.probesPerTarget, d.instances())
+	})
+}
 
 func (d *desk) setTargets(services map[string][]*catalog.Target) {
-	d.loop.Post(func(now time.Duration) { d.placer.SetTargets(now, services) })
+	d.loop.Post(func(now time.Duration) {
+		d.placer.SetTargets(now, services)
+		d.placer.SetProbeBound(now, d.probesPerTarget, d.instances())
+	})
 }
 
 func (d *desk) setBudget(b Budget) {
@@ -48,7 +57,8 @@
 func (d *desk) share(service string) *retry.Share {
 	s := d.shares[service]
 	if s == nil {
-		s = &retry.Share{Ratio: d.budget.Ratio, Allowance: d.budget.Allowance, Window: d.budget.Window}
+		s = &retry.Share{Ratio: d.budget.Ratio, Allowance: d.budget.Allowance, Window: d.budget.Window,
+			Fresh: d.budget.Fresh}
 		d.shares[service] = s
 	}
 	return s
@@ -68,8 +78,17 @@
 	return owner.Ask(ctx, d.loop, func(now time.Duration) []*catalog.Target { return d.placer.Sample(now, r, far) })
 }
 
-func (d *desk) probed(id catalog.Incarnation, answered bool) {
-	d.loop.Post(func(now time.Duration) { d.placer.Probed(now, id, answered) })
+func (d *desk) probed(id catalog.Incarnation, r placement.Report, answered bool) {
+	d.loop.Post(func(now time.Duration) {
+		d.placer.Probed(now, id, answered)
+		if answered {
+			d.placer.Reported(r)
+		}
+	})
+}
+
+func (d *desk) blind(ctx context.Context, r *placement.Request) ([]placement.Report, error) {
+	return owner.Ask(ctx, d.loop, func(now time.Duration) []placement.Report { return d.placer.Blind(now, r) })
 }
 
 func (d *desk) good(ctx context.Context, r *placement.Request, reports []placement.Report) (bool, error) {
@@ -83,12 +102,44 @@
 	ok   bool
 }
 
+// purpose is why a target is looked for.
+type purpose int
+
+const (
+	// firstSend is for a request that no target has got.
+	firstSend purpose = iota
+	// retrying is for a request that a target rejected or failed.
+	retrying
+	// hedging is for a request that takes unusually long.
+	hedging
+)
+
+// hedgeShare is the part of the budget of repeats that hedges may use. The rest
+// is for requests that would fail otherwise.
+const hedgeShare = 0.7
+
+// afford takes from the budget of repeats.
+func (d *desk) afford(now time.Duration, service string, p purpose) bool {
+	switch p {
+	case retrying:
+		return d.share(service).Take(now, d.instances(), 1)
+	case hedging:
+		return d.share(service).Take(now, d.instances(), hedgeShare)
+	default:
+		return true
+	}
+}
+
 // choose picks a target and counts the send. A repeat also takes from the
 // service's budget.
-func (d *desk) choose(ctx context.Context, r *placement.Request, reports []placement.Report, repeat bool) (grant, error) {
+func (d *desk) choose(ctx context.Context, r *placement.Request, reports []placement.Report, p purpose) (grant, error) {
 	return owner.Ask(ctx, d.loop, func(now time.Duration) grant {
-		choice, ok := d.placer.Choose(now, r, reports)
-		if !ok || repeat && !d.share(r.Service).Take(now, d.instances()) {
+		urgency := d.placer.Urgency(now, r)
+		if p == hedging {
+			urgency = placement.Spare
+		}
+		choice, ok := d.placer.Choose(now, r, reports, urgency)
+		if !ok || !d.afford(now, r.Service, p) {
 			return grant{}
 		}
 		d.placer.Sent(now, choice.Target.Incarnation())
@@ -96,8 +147,11 @@
 	})
 }
 
-func (d *desk) ended(g grant, route *catalog.Route, result placement.Result) {
+func (d *desk) ended(g grant, route *catalog.Route, result placement.Result, load placement.Load) {
 	d.loop.Post(func(now time.Duration) {
+		if load.Slots > 0 {
+			d.placer.Reported(placement.Report{Target: g.Target, Load: load, At: now})
+		}
 		d.placer.Ended(now, g.Target.Incarnation(), g.sent, route, g.Choice, result)
 	})
 }
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -34,19 +34,18 @@
 
 // find asks targets for their load until one can take the request or the
 // request has waited for too long.
-func (x *exchange) find(ctx context.Context, r *placement.Request, repeat bool) selection {
+func (x *exchange) find(ctx context.Context, r *placement.Request, p purpose) selection {
 	g := x.gateway
 	hold, retryAfter, err := g.desk.patience(ctx, r)
 	if err != nil {
 		return selection{refused: x.failedSearch()}
 	}
-	started := g.options.Now()
 	for pause := firstPause; ; pause = min(2*pause, maxPause) {
 		reports, err := x.survey(ctx, r)
 		if err != nil {
 			return selection{refused: x.failedSearch()}
 		}
-		granted, err := g.desk.choose(ctx, r, reports, repeat)
+		granted, err := g.desk.choose(ctx, r, reports, p)
 		if err != nil {
 			return selection{refused: x.failedSearch()}
 		}
@@ -54,7 +53,7 @@
 			return selection{grant: granted}
 		}
 		now := g.options.Now()
-		if repeat || now+pause-started > hold || now+pause > r.Deadline {
+		if p != firstSend || now+pause-r.Arrived > hold || now+pause > r.Deadline {
 			return selection{refused: notRun(outcomeNoRoom, retryAfter)}
 		}
 		sleep(ctx, pause)
@@ -81,6 +80,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(near)+len(far) == 0 {
+		return g.desk.blind(ctx, r)
+	}
 	return x.ask(ctx, far, answers, reports, farPatience), nil
 }
 
@@ -120,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	report, ok := g.probeOnce(ctx, t, path)
-	g.desk.probed(t.Incarnation(), ok)
+	g.desk.probed(t.Incarnation(), report, ok)
 	select {
 	case answers <- report:
 	default: // nobody waits any more
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -16,6 +16,8 @@
 	Window time.Duration
 	// Allowance is the number of repeats in a window besides.
 	Allowance float64
+	// Fresh is true when no instance of the fleet ran before this one started.
+	Fresh bool
 }
 
 // Options configure a Gateway. All fields are required.
@@ -29,6 +31,9 @@
 	Instances func() int
 	// Repeats bounds repeats and hedges.
 	Repeats Budget
+	// ProbesPerTarget bounds the probes that a target gets a second from all
+	// instances. 0: no bound.
+	ProbesPerTarget float64
 	// BodyBytes bounds the bodies that are held in memory at a time.
 	BodyBytes int64
 	Log       *slog.Logger
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -38,7 +38,7 @@
 	r := &race{exchange: x, ctx: ctx, finished: make(chan finish, limit), chosen: make(chan selection, limit),
 		hedge: time.NewTimer(time.Hour)}
 	defer r.hedge.Stop()
-	r.choose()
+	r.choose(firstSend)
 	for {
 		select {
 		case s := <-r.chosen:
@@ -54,13 +54,13 @@
 				return final
 			}
 			if r.mayRepeat() {
-				r.choose()
+				r.choose(retrying)
 			} else if r.active == 0 && !r.choosing {
 				return r.conclude(nil)
 			}
 		case <-r.hedge.C:
 			if x.request.Route.Idempotent && r.mayRepeat() {
-				r.choose()
+				r.choose(hedging)
 			}
 		case <-ctx.Done():
 			return r.expired()
@@ -69,11 +69,13 @@
 }
 
 // choose looks for a target in a goroutine of its own.
-func (r *race) choose() {
+func (r *race) choose(p purpose) {
 	r.choosing = true
 	request := r.request // the copy keeps Tried as it is now
-	sent := r.sends(func(a *attempt) bool { return a.outcome != attemptNotSent }) > 0
-	go func() { r.chosen <- r.find(r.ctx, &request, sent) }()
+	if r.sends(func(a *attempt) bool { return a.outcome != attemptNotSent }) == 0 {
+		p = firstSend // no target has got it yet
+	}
+	go func() { r.chosen <- r.find(r.ctx, &request, p) }()
 }
 
 func (r *race) start(g grant) {
@@ -85,7 +87,7 @@
 	message := r.message(a)
 	go func() {
 		e := r.send(r.ctx, message)
-		r.gateway.desk.ended(g, r.request.Route, e.result(g.sent))
+		r.gateway.desk.ended(g, r.request.Route, e.result(g.sent), e.load)
 		r.finished <- finish{attempt: a, ending: e}
 	}()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -48,16 +48,18 @@
 	}
 	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
 		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
-		Repeats: o.Settings.Bounds.repeats(), BodyBytes: int64(bodyShare * float64(o.Settings.MemoryBytes)),
-		Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
+		Repeats: o.Settings.repeats(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
+		BodyBytes: int64(bodyShare * float64(o.Settings.MemoryBytes)),
+		Log:       o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
 	if err := n.openServers(); err != nil {
 		return nil, err
 	}
 	return n, nil
 }
 
-func (b *Bounds) repeats() gateway.Budget {
-	return gateway.Budget{Ratio: b.RetryRatio, Window: b.RetryWindow, Allowance: b.RetryAllowance}
+func (s *Settings) repeats() gateway.Budget {
+	return gateway.Budget{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Allowance: s.Bounds.RetryAllowance,
+		Fresh: s.FirstStart}
 }
 
 func (n *Node) openFleet(now func() time.Duration) error {
@@ -123,6 +125,6 @@
 // of repeats. All others need a restart.
 func (n *Node) Reload(s *Settings) {
 	n.settings.Store(s)
-	n.gateway.SetBudget(s.Bounds.repeats())
+	n.gateway.SetBudget(s.repeats())
 	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance)
 }
--- a/node/run.go
+++ b/node/run.go
@@ -50,8 +50,8 @@
 	})
 	err := group.Wait()
 	n.options.Log.Info("stop", "in_flight", n.gateway.InFlight())
-	if closeErr := n.metrics.Close(); err == nil {
-		err = errors.Wrap(closeErr, "close metrics")
+	if closeErr := n.metrics.Close(); err == nil && closeErr != nil {
+		return errors.Wrap(closeErr, "close metrics")
 	}
 	return err
 }
--- a/node/server.go
+++ b/node/server.go
@@ -44,13 +44,17 @@
 }
 
 func (s *server) serve() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", s.name)
+	err := s.http.Serve(s.listener) // never nil
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return errors.Wrapf(err, "serve %s", s.name)
 }
 
 // shutdown stops accepting and waits for requests in progress.
 func (s *server) shutdown(ctx context.Context) error {
-	return errors.Wrapf(s.http.Shutdown(ctx), "shut down %s", s.name)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrapf(err, "shut down %s", s.name)
+	}
+	return nil
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -18,7 +18,9 @@
 	StoreAddress string
 	// MemoryBytes bounds the memory of the process.
 	MemoryBytes int64
-	Bounds      Bounds
+	// FirstStart is true when the whole fleet starts for the first time.
+	FirstStart bool
+	Bounds     Bounds
 }
 
 // Addresses are the IP addresses and ports to listen on.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -7,17 +7,35 @@
 )
 
 const (
-	// queueShare is how many requests may wait at a target, as a share of its
-	// slots. Targets queue at least twice their slots; the rest is left for
-	// requests that other instances send at the same moment.
-	queueShare = 1.0
 	// goodFactor is the estimate, as a multiple of the plain work, up to which a
-	// target of the own failure domain is taken without asking others.
+	// target is taken without asking others, and for a hedge.
 	goodFactor = 1.3
-	// holdShare is the share of its objective that a request of the most urgent
-	// rank waits for room; each rank below waits rankShare of that.
-	holdShare = 0.5
-	rankShare = 0.6
+	// goodFailures is the rate of recent failures from which a target is not good.
+	goodFailures = 0.1
+	// urgentRank is the rank up to which requests may use the slots above a
+	// target's knee before they are late.
+	urgentRank = 1
+	// callerPath is the way to the caller and back, which counts for its objective.
+	callerPath = 6 * time.Millisecond
+	// queueShare is how many requests may wait at a target, as a share of its
+	// slots, for a request that is late anyway. Targets queue at least twice
+	// their slots; the rest is left for other instances' requests.
+	queueShare = 0.5
+	// lateHold is how long a late request looks for room, as a share of its objective.
+	lateHold = 0.3
+)
+
+// Urgency is what a choice demands of a target.
+type Urgency int
+
+// Urgencies, from the strictest demand to the least strict.
+const (
+	// Spare asks for a target that is idle and fast, as for a hedge.
+	Spare Urgency = iota
+	// InTime asks for an answer within the objective.
+	InTime
+	// Late asks for an answer before the deadline.
+	Late
 )
 
 // Choice is a target for a request.
@@ -25,6 +43,8 @@
 	Target *catalog.Target
 	// Factor is the expected time as a multiple of the route's work.
 	Factor float64
+	// Full is true when the target runs more than it can at full speed.
+	Full bool
 	// Expected is the expected time until the answer.
 	Expected time.Duration
 	// HedgeAfter is when another target should get the request too, from the send.
@@ -38,21 +58,50 @@
 func (p *Placer) Good(now time.Duration, r *Request, reports []Report) bool {
 	mean := p.workOf(r.Route).mean
 	for _, report := range reports {
-		t := p.targets[report.Target.Incarnation()]
-		if t == nil {
-			continue
-		}
-		e := p.estimate(now, report, t, mean)
-		if !e.queued && e.factor <= goodFactor && t.failureRate(now) < failureWeight/4 {
-			return true
+		if t := p.targets[report.Target.Incarnation()]; t != nil {
+			if e := p.estimate(now, report, t, mean); e.good(now) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-// Choose returns the best of the targets that reported, or false when none has
-// room or could answer before the deadline.
-func (p *Placer) Choose(now time.Duration, r *Request, reports []Report) (Choice, bool) {
+// good reports whether the target is idle and fast.
+func (e *estimate) good(now time.Duration) bool {
+	return e.occupied <= e.brisk && e.factor <= goodFactor && e.target.failureRate(now) < goodFailures
+}
+
+// Urgency returns what the request demands of its first target now: an answer
+// within the objective while that is possible.
+func (p *Placer) Urgency(now time.Duration, r *Request) Urgency {
+	if now+p.workOf(r.Route).mean+callerPath > r.Arrived+r.objective() {
+		return Late
+	}
+	return InTime
+}
+
+// fits reports whether a target fulfils the demand.
+func (e *estimate) fits(now time.Duration, r *Request, u Urgency) bool {
+	if now+e.took > r.Deadline {
+		return false
+	}
+	switch u {
+	case Spare:
+		return e.good(now)
+	case InTime:
+		limit := e.brisk
+		if r.Route.Rank <= urgentRank {
+			limit = e.slots
+		}
+		return e.occupied <= limit && now+e.took+callerPath <= r.Arrived+r.objective()
+	default:
+		return e.occupied <= e.slots+int(queueShare*float64(e.slots))
+	}
+}
+
+// Choose returns the best of the targets that reported and fulfil the demand.
+func (p *Placer) Choose(now time.Duration, r *Request, reports []Report, u Urgency) (Choice, bool) {
 	w := p.workOf(r.Route)
 	var best estimate
 	found := false
@@ -62,36 +111,43 @@
 			continue // it left meanwhile
 		}
 		e := p.estimate(now, report, t, w.mean)
-		if !e.room || now+e.took > r.Deadline {
-			continue
-		}
-		if !found || e.cost(now) < best.cost(now) {
+		if e.fits(now, r, u) && (!found || e.cost(now) < best.cost(now)) {
 			best, found = e, true
 		}
 	}
 	if !found {
 		return Choice{}, false
 	}
-	return Choice{Target: best.target.Target, Factor: best.factor, Expected: best.took,
-		HedgeAfter: p.hedgeAfter(w, best), Load: best.report.Load, Age: now - best.report.At}, true
+	return Choice{Target: best.target.Target, Factor: best.factor, Expected: best.took, Full: best.occupied > best.brisk,
+		HedgeAfter: p.hedgeAfter(now, r, w, best), Load: best.report.Load, Age: now - best.report.At}, true
 }
 
-// hedgeAfter is when the request is an outlier of what was expected.
-func (p *Placer) hedgeAfter(w *work, e estimate) time.Duration {
-	return e.took + scale(w.spread, hedgeSpreads)
+// hedgeAfter is when the request is an outlier of what was expected, or, if
+// that is earlier, the last moment from which another target can answer within
+// the objective.
+func (p *Placer) hedgeAfter(now time.Duration, r *Request, w *work, e estimate) time.Duration {
+	outlier := e.took + scale(w.spread, hedgeSpreads)
+	last := r.Arrived + r.objective() - callerPath - scale(w.mean, hedgeMargin) - now
+	if last > e.took {
+		return min(outlier, last)
+	}
+	return outlier
 }
 
-// hedgeSpreads is the number of mean deviations above the estimate at which
-// another target gets an idempotent request too.
-const hedgeSpreads = 1.5
+const (
+	// hedgeSpreads is the number of mean deviations above the estimate at which
+	// another target gets an idempotent request too.
+	hedgeSpreads = 1.5
+	// hedgeMargin is the time that the other target is given, as a multiple of
+	// the mean work.
+	hedgeMargin = 1.2
+)
 
-// Hold returns how long a request may wait for room before it is refused.
+// Hold returns how long a request may wait for room before it is refused: as
+// long as it can be answered within its objective, and a while longer.
 func (p *Placer) Hold(r *Request) time.Duration {
-	share := holdShare
-	for range min(r.Route.Rank, 4) {
-		share *= rankShare
-	}
-	return scale(r.objective(), share)
+	inTime := r.objective() - p.workOf(r.Route).mean - callerPath
+	return max(0, inTime) + scale(r.objective(), lateHold)
 }
 
 // RetryAfter returns when a refused caller should come back: after about the
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -7,11 +7,13 @@
 // that the target runs and holds, the pace of its machine, the requests sent
 // since the report, the end of its warm-up, and recent failures.
 //
-// A request waits when no target that was asked can complete it in time or has
-// room, and is asked for again shortly after. It is refused when that has gone
-// on for a share of its objective that grows with its urgency. This answers
-// loads above the capacity of the targets for seconds: waiting longer would
-// make the work late that could still be on time.
+// Some targets complete less when they are nearly full, so ordinary requests
+// use a target only up to that knee. A request waits for room as long as it
+// can be answered within its objective, and is asked for again shortly after;
+// the most urgent ranks may use all slots at once. When the objective cannot be
+// met any more, it takes what can answer before the deadline, and is refused
+// when that is not found soon. This answers loads above the capacity of the
+// targets for seconds, as in the crest of a swing with targets missing.
 //
 // Placer is the decision state. One goroutine owns it; all methods take the
 // time on the instance's steady clock.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -13,13 +13,16 @@
 	random   *rand.Rand
 	targets  map[catalog.Incarnation]*target
 	services map[string][]*target
-	work     map[string]*work // by route
+	work     map[string]*work   // by route
+	knees    map[string]float64 // by service, learned
+	probes   probeBudget
 }
 
 // New returns a placer of an instance in a failure domain.
 func New(domain string, random *rand.Rand) *Placer {
 	return &Placer{domain: domain, random: random, targets: make(map[catalog.Incarnation]*target),
-		services: make(map[string][]*target), work: make(map[string]*work)}
+		services: make(map[string][]*target), work: make(map[string]*work),
+		knees: make(map[string]float64)}
 }
 
 // SetTargets replaces the targets that take new work. What is known of
@@ -41,6 +44,12 @@
 	p.targets = targets
 }
 
+// SetProbeBound sets the number of probes that a target may get a second from
+// all instances together; 0 is no bound.
+func (p *Placer) SetProbeBound(now time.Duration, perTarget float64, instances int) {
+	p.probes.setRate(now, probeMargin*perTarget*float64(len(p.targets))/float64(max(1, instances)))
+}
+
 // Known reports whether the service has targets that take new work.
 func (p *Placer) Known(service string) bool { return len(p.services[service]) > 0 }
 
@@ -73,6 +82,8 @@
 	Failed bool
 	// Gone is true when the target broke off without an answer.
 	Gone bool
+	// Rejected is true when the target refused to run the request.
+	Rejected bool
 	// Took is the time from the send to the answer.
 	Took time.Duration
 }
@@ -95,9 +106,16 @@
 		if r.Gone {
 			t.missed(now)
 		}
+	case r.Rejected:
+		t.observe(now, true)
 	case r.Answered:
 		t.observe(now, false)
-		p.workOf(route).observe(r.Took, c.Factor)
+		w := p.workOf(route)
+		if c.Full {
+			p.observeKnee(t.Service, float64(r.Took)/float64(scale(w.mean, c.Factor/p.knee(t.Service))))
+			return
+		}
+		w.observe(r.Took, c.Factor)
 	}
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -23,6 +23,8 @@
 // target is what this instance knows of one incarnation.
 type target struct {
 	*catalog.Target
+	// last is the latest load report.
+	last Report
 	// warm is when its warm-up ends.
 	warm time.Duration
 	// sends holds the times of the requests sent and not ended.
--- a/retry/share.go
+++ b/retry/share.go
@@ -21,6 +21,9 @@
 	Allowance float64
 	// Window is the time over which both are counted.
 	Window time.Duration
+	// Fresh is true when no instance of the fleet ran before, so that the
+	// allowance cannot have been used.
+	Fresh bool
 
 	requests, repeats [2 * shareSlots]int
 	slot              int
@@ -32,9 +35,9 @@
 	s.requests[s.slot%len(s.requests)]++
 }
 
-// Take spends one repeat, or reports false when the share has none. instances
-// is the number of instances that may be alive.
-func (s *Share) Take(now time.Duration, instances int) bool {
+// Take spends one repeat, or reports false when less than that is left of a
+// part of the share. instances is the number of instances that may be alive.
+func (s *Share) Take(now time.Duration, instances int, part float64) bool {
 	s.advance(now)
 	requests, repeats := 0, 0
 	for i := range shareSlots + 1 {
@@ -45,10 +48,10 @@
 		}
 	}
 	budget := s.Ratio * float64(requests)
-	if now >= s.Window {
+	if s.Fresh || now >= s.Window {
 		budget += s.Allowance / float64(max(1, instances))
 	}
-	if float64(repeats+1) > shareMargin*budget {
+	if float64(repeats+1) > shareMargin*part*budget {
 		return false
 	}
 	s.repeats[s.slot%len(s.repeats)]++
