Look for a hedge target again, fewer exchanges between domains

Cause: a hedge that found no idle target was never tried again, so stragglers ran to the caller's deadline; every fourth exchange left the failure domain, and gRPC measured each connection with pings.

--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -22,6 +22,9 @@
 	connectBackoff = 100 * time.Millisecond
 	// bufferBytes is the size of a connection's buffers; messages are small.
 	bufferBytes = 4 << 10
+	// windowBytes is the fixed flow control window. It holds a whole set of
+	// records; a fixed one also saves the pings that measure the connection.
+	windowBytes = 2 << 20
 )
 
 // clients holds a connection to each peer. The task owns it; the connections
@@ -45,6 +48,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+netip.AddrPortFrom(ip, c.port).String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithConnectParams(params), grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithIdleTimeout(0),
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithSharedWriteBuffer(true))
 	if err != nil {
 		return nil, errors.Wrapf(err, "make client of peer %s", ip)
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -26,7 +26,7 @@
 	// passedOn bounds the members that one exchange tells of.
 	passedOn = 10
 	// farEvery is every how many rounds an exchange leaves the failure domain.
-	farEvery = 4
+	farEvery = 8
 	// searchEvery is every how many rounds an instance also contacts a seed or a
 	// silent peer, so that separated parts find each other.
 	searchEvery = 6
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,9 @@
 // the route.
 const maxRejections = 2
 
+// hedgePause is the time between two searches for a target that can take a hedge.
+const hedgePause = 40 * time.Millisecond
+
 // finish is the end of one attempt.
 type finish struct {
 	attempt *attempt
@@ -43,10 +46,13 @@
 		select {
 		case s := <-r.chosen:
 			r.choosing = false
-			if s.refused == nil {
+			switch {
+			case s.refused == nil:
 				r.start(s.grant)
-			} else if r.active == 0 {
+			case r.active == 0:
 				return r.conclude(s.refused)
+			default:
+				r.hedge.Reset(hedgePause)
 			}
 		case f := <-r.finished:
 			r.active--
