Hedge once more before the deadline when no target could take the first hedge

Cause: looking for a hedge target every 40 ms took the repeats that rejected requests need; never looking again left stragglers to hang until the deadline.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -114,11 +114,11 @@
 	hedging
 )
 
-// Parts of the budget of repeats. Hedges leave most of it to requests that
-// would fail otherwise, and these leave some to the urgent ones.
+// Parts of the budget of repeats that hedges and ordinary retries may use. The
+// rest is for urgent requests that would fail otherwise.
 const (
-	hedgeShare    = 0.45
-	ordinaryShare = 0.65
+	hedgeShare    = 0.7
+	ordinaryShare = 0.7
 )
 
 // afford takes from the budget of repeats.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,9 +10,6 @@
 // the route.
 const maxRejections = 2
 
-// hedgePause is the time between two searches for a target that can take a hedge.
-const hedgePause = 40 * time.Millisecond
-
 // finish is the end of one attempt.
 type finish struct {
 	attempt *attempt
@@ -28,6 +25,7 @@
 	chosen   chan selection
 	active   int
 	choosing bool
+	rescued  bool // the last hedge has been planned
 	hedge    *time.Timer
 	// last is the best final answer so far.
 	last *answer
@@ -52,7 +50,7 @@
 			case r.active == 0:
 				return r.conclude(s.refused)
 			default:
-				r.hedge.Reset(hedgePause)
+				r.armRescue()
 			}
 		case f := <-r.finished:
 			r.active--
@@ -98,6 +96,21 @@
 	}()
 }
 
+// rescueShare is the share of the time left, after a hedge found no target, at
+// which the request is hedged once more, so that it is not lost with a target
+// that hangs. Asking more often would take the repeats that rejected requests need.
+const rescueShare = 0.4
+
+// armRescue plans the last hedge of the request.
+func (r *race) armRescue() {
+	if r.rescued {
+		return
+	}
+	r.rescued = true
+	left := r.limit - r.gateway.options.Now()
+	r.hedge.Reset(time.Duration(rescueShare * float64(left)))
+}
+
 // take looks at an attempt that ended and returns the answer if it is final.
 func (r *race) take(f finish) *answer {
 	a := f.attempt
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -11,7 +11,7 @@
 	// nearSample and farSample are how many targets of the own failure domain,
 	// and then of the others, are asked for their load.
 	// A choice in the own domain costs no bytes between domains, so more are asked there.
-	nearSample = 3
+	nearSample = 4
 	farSample  = 3
 	// blindSample is how many targets are compared by what is known of them when
 	// no probe may be sent.
