Exchange state with stable partners, gather changes, pass on news of readers first

Cause: on 153 machines every instance connected to every other one, each change of the store was one call of each reader, and news of readers arrived late, so others read too.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -1,10 +1,14 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
@@ -25,6 +29,12 @@
 	spreadDelay = 30 * time.Millisecond
 	// passedOn bounds the members that one exchange tells of.
 	passedOn = 10
+	// nearPartners and farPartners bound the peers of the own and of the other
+	// failure domains with which an instance exchanges state regularly. Every
+	// connection costs memory; news still crosses the fleet in a number of rounds
+	// that grows with its logarithm.
+	nearPartners = 8
+	farPartners  = 4
 	// farEvery is every how many rounds an exchange leaves the failure domain.
 	farEvery = 8
 	// searchEvery is every how many rounds an instance also contacts a seed or a
@@ -44,13 +54,31 @@
 		t.search(now, false)
 	}
 	near, far := t.byDomain(live)
-	list := near
+	list := t.partners(near, nearPartners)
 	if t.round%farEvery == 0 && len(far) > 0 || len(near) == 0 {
-		list = far
+		list = t.partners(far, farPartners)
 	}
 	t.contact(now, list[rand.IntN(len(list))].IP)
 }
 
+// partners returns the peers of a list with which this instance exchanges state
+// regularly. The choice is stable while they live, and random over the fleet.
+func (t *Task) partners(list []*peer, n int) []*peer {
+	if len(list) <= n {
+		return list
+	}
+	slices.SortFunc(list, func(a, b *peer) int {
+		return cmp.Compare(pairOrder(t.options.IP, a.IP), pairOrder(t.options.IP, b.IP))
+	})
+	return list[:n]
+}
+
+// pairOrder is a hash of two instances.
+func pairOrder(a, b netip.Addr) uint64 {
+	first, second := a.As4(), b.As4()
+	return xxhash.Sum64(append(first[:], second[:]...))
+}
+
 // byDomain divides peers into those of the own failure domain and others.
 func (t *Task) byDomain(list []*peer) (near, far []*peer) {
 	for _, p := range list {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,9 +1,10 @@
 package fleet
 
 import (
-	"hash/fnv"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Member is an instance's statement about itself.
@@ -48,10 +49,8 @@
 
 // order is the place of a member among candidates for reading the store.
 func (m *Member) order() uint64 {
-	h := fnv.New64a()
 	ip := m.IP.As4()
-	_, _ = h.Write(ip[:]) // a hash never fails
-	return h.Sum64()
+	return xxhash.Sum64(ip[:])
 }
 
 // peer is what an instance knows of another one.
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -15,6 +15,9 @@
 	// watchSlack is how much later than watchWait an answer may come. The store's
 	// usual answer takes 4 ms, a slow one some hundred.
 	watchSlack = 900 * time.Millisecond
+	// gatherFor is the least time between two answers with changes, so that
+	// changes in quick succession cost one call. The first one is not delayed.
+	gatherFor = 150 * time.Millisecond
 	// listTimeout bounds a full listing.
 	listTimeout = 3 * time.Second
 	// firstBackoff and maxBackoff bound the time between failed calls, so that
@@ -56,6 +59,9 @@
 		r.deliver(report)
 		if report.err == nil {
 			backoff = firstBackoff
+			if len(report.listing.Records) > 0 {
+				sleep(ctx, gatherFor)
+			}
 			continue
 		}
 		r.source.Reset()
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -10,9 +11,11 @@
 	// wantedReaders watch the store at a time. Two keep the changes coming when
 	// one of them is killed; more would cost calls.
 	wantedReaders = 2
-	// readerSilence is how long an instance waits for news of a reader before it
-	// reads for itself. News of a reader arrive within about a second.
-	readerSilence = 1200 * time.Millisecond
+	// minSilence and silencePerDoubling give how long an instance waits for news
+	// of a reader before it reads for itself: each doubling of the fleet takes
+	// news about one more round of exchanges.
+	minSilence         = 400 * time.Millisecond
+	silencePerDoubling = 190 * time.Millisecond
 	// takeoverStep keeps instances apart that miss the same reader.
 	takeoverStep = 120 * time.Millisecond
 	// startDelay and startSpread give peers time to answer before an instance
@@ -70,7 +73,12 @@
 	if rank < wantedReaders {
 		return true
 	}
-	return silence > readerSilence+time.Duration(rank)*takeoverStep
+	return silence > r.patience()+time.Duration(rank)*takeoverStep
+}
+
+// patience is how long the news of a reader may take to arrive.
+func (r *roster) patience() time.Duration {
+	return minSilence + time.Duration(bits.Len(uint(len(r.peers))))*silencePerDoubling
 }
 
 // heardReader returns when a reader with recent answers was last heard.
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -91,13 +91,16 @@
 	return list
 }
 
-// latest returns up to n members, those with the most recent news first.
+// latest returns up to n members to tell others of: readers first, since all
+// instances wait for their news, then those with the most recent news.
 func (r *roster) latest(n int) []Member {
 	list := make([]*peer, 0, len(r.peers))
 	for _, p := range r.peers {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b *peer) int { return cmp.Or(cmp.Compare(b.heard, a.heard), a.IP.Compare(b.IP)) })
+	slices.SortFunc(list, func(a, b *peer) int {
+		return cmp.Or(compareFlag(b.State.Has(Reading), a.State.Has(Reading)), cmp.Compare(b.heard, a.heard), a.IP.Compare(b.IP))
+	})
 	members := make([]Member, 0, n)
 	for _, p := range list[:min(n, len(list))] {
 		members = append(members, p.Member)
@@ -105,6 +108,17 @@
 	return members
 }
 
+func compareFlag(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // forget drops members that were silent for long.
 func (r *roster) forget(now time.Duration) {
 	for ip, p := range r.peers {
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -159,7 +159,7 @@
 	t.setState(StoreFailed, t.failedAt > 0 && now-t.failedAt < storeFailedFor)
 	silence := now - max(t.started, t.roster.heardReader())
 	want := now >= t.readFrom && (t.set.Revision() == 0 || t.roster.shouldRead(now, silence))
-	if orphaned := silence > readerSilence && t.stopReader == nil; orphaned != t.orphaned {
+	if orphaned := silence > t.roster.patience() && t.stopReader == nil; orphaned != t.orphaned {
 		t.orphaned = orphaned
 		t.options.Log.Info("readers of the store", "heard", !orphaned, "silence_ms", silence.Milliseconds())
 	}
