--- /dev/null
+++ b/catalog/builder_test.go
@@ -0,0 +1,87 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+)
+
+func target(id string, born, sequence int64, draining bool) *catalog.Target {
+	return &catalog.Target{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 1, Born: born, Sequence: sequence, Draining: draining}
+}
+
+func ids(v *catalog.View) []string {
+	list := []string{}
+	for _, t := range v.Targets["s"] {
+		list = append(list, t.ID)
+	}
+	return list
+}
+
+// Guards against a configuration that reverts to an older version.
+func TestOlderVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	is.True(b.SetConfig(&catalog.Config{Version: 7}))
+	is.True(!b.SetConfig(&catalog.Config{Version: 7}))
+	is.True(!b.SetConfig(&catalog.Config{Version: 5}))
+	is.True(b.SetConfig(&catalog.Config{Version: 12}))
+	is.Equal(b.Build(0, 1).Config.Version, int64(12))
+}
+
+// Guards against new work for a target that drains or has an unreadable entry,
+// and against such an entry that disturbs others.
+func TestOnlyReadyTargetsTakeWork(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	b.SetTarget("a", target("a", 1, 1, false))
+	b.SetTarget("b", target("b", 1, 1, true))
+	b.SetTarget("c", target("c", 1, 1, false))
+	b.SetTarget("c", nil)
+	is.Equal(ids(b.Build(0, 1)), []string{"a"})
+}
+
+// Guards against a delayed report that makes a draining target ready again, and
+// against a restarted target whose counts start anew being taken for delayed.
+func TestDelayedReportIsIgnored(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	b.SetTarget("a", target("a", 100, 9, true))
+	b.SetTarget("a", target("a", 100, 8, false)) // delayed
+	b.SetTarget("a", target("a", 99, 50, false)) // of an earlier start
+	is.Equal(ids(b.Build(0, 1)), []string{})
+	b.SetTarget("a", target("a", 200, 1, false)) // restarted
+	is.Equal(ids(b.Build(0, 1)), []string{"a"})
+}
+
+// Guards against the loss of living targets whose entries expired while the
+// store was unavailable, and against targets kept longer than agreed.
+func TestLapsedTargetIsKeptForAWhile(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	b.SetTarget("a", target("a", 1, 1, false))
+	b.SetTarget("b", target("b", 1, 1, true))
+	b.SetTarget("c", target("c", 1, 1, false))
+	now := 10 * time.Second
+	b.Remove(now, "a", true)
+	b.Remove(now, "b", true) // it had said that it drains
+	b.Remove(now, "c", false)
+	is.Equal(ids(b.Build(now, 1)), []string{"a"})
+	is.True(!b.Expire(now + catalog.LapseGrace - 1))
+	is.True(b.Expire(now + catalog.LapseGrace))
+	is.Equal(ids(b.Build(now, 1)), []string{})
+}
+
+// Guards against a registered target that expires because of an earlier lapse.
+func TestRenewedTargetStays(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	b.SetTarget("a", target("a", 1, 1, false))
+	b.Remove(0, "a", true)
+	b.SetTarget("a", target("a", 1, 2, false))
+	is.True(!b.Expire(time.Hour))
+	is.Equal(ids(b.Build(0, 1)), []string{"a"})
+}
--- /dev/null
+++ b/eventlog/log_test.go
@@ -0,0 +1,61 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/eventlog"
+)
+
+// blocked is a writer that accepts nothing until it is released.
+type blocked struct{ release chan struct{} }
+
+func (b *blocked) Write(p []byte) (int, error) { <-b.release; return len(p), nil }
+
+// Guards against a request that waits for a log that cannot be written.
+func TestLoggingNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	w := &blocked{release: make(chan struct{})}
+	log := eventlog.New(w)
+	logger := log.Logger(slog.LevelInfo)
+	for range 100_000 { // ends although nothing is written
+		logger.Info("ordinary")
+		logger.Warn("failure")
+	}
+	is.True(log.LeftOut() > 0)
+	close(w.release)
+	log.Close()
+}
+
+// Guards against lines about failures that a flood of ordinary lines displaces.
+func TestFailuresAreKeptInAFlood(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := eventlog.New(&out)
+	logger := log.Logger(slog.LevelInfo)
+	for range 10_000 {
+		logger.Info("ordinary")
+	}
+	for range 100 {
+		logger.Warn("failure", "id", "x")
+	}
+	log.Close()
+	is.Equal(strings.Count(out.String(), `"msg":"failure"`), 100)
+	is.True(strings.Count(out.String(), `"msg":"ordinary"`) < 1000) // the volume is bounded
+	is.True(log.LeftOut() > 9000)
+}
+
+// Guards against lines of one request that lose the fields of their logger.
+func TestFieldsOfTheLoggerAreKept(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := eventlog.New(io.MultiWriter(&out))
+	log.Logger(slog.LevelInfo).With("instance", "i-1").WithGroup("g").Info("line", "a", 1)
+	log.Close()
+	is.True(strings.Contains(out.String(), `"instance":"i-1","g":{"a":1}`))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -85,6 +86,11 @@
 func (x *exchange) message(a *attempt) *transport.Attempt {
 	d := &x.gateway.options.Dialect
 	header := maps.Clone(x.caller.Header)
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") { // these concern the caller's connection
+			header.Del(strings.TrimSpace(name))
+		}
+	}
 	header[d.Expected] = []string{a.Target.ID}
 	left := max(0, (x.limit - x.gateway.options.Now()).Milliseconds())
 	header[d.Deadline] = []string{strconv.FormatInt(left, 10)}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,6 +57,9 @@
 			if final := r.take(f); final != nil {
 				return final
 			}
+			if ctx.Err() != nil { // it ended because the time was over
+				return r.expired()
+			}
 			if r.mayRepeat() {
 				r.choose(retrying)
 			} else if r.active == 0 && !r.choosing {
--- /dev/null
+++ b/gateway/stub_test.go
@@ -0,0 +1,235 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/gateway"
+	"github.com/dogwoodroute/dogwoodroute/placement"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testTimeout only ends a test that would otherwise hang.
+const testTimeout = time.Minute
+
+var dialect = gateway.Dialect{RequestID: "Id", Deadline: "Deadline-Ms", Expected: "Expected", Signature: "Signature",
+	NotRun: "Not-Run", Load: "Load", Identity: "Identity", ParseLoad: func(value string) (placement.Load, bool) {
+		var l placement.Load
+		_, err := fmt.Sscanf(value, "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
+		l.Slowness = 1
+		return l, err == nil
+	}}
+
+// target is a server whose answers a test scripts.
+type target struct {
+	id       string
+	listener net.Listener
+	load     atomic.Value // string
+	// serve answers a request that is no probe, and reports whether the
+	// connection stays open.
+	serve func(t *target, conn net.Conn, r *http.Request, body []byte) bool
+	ran   atomic.Int64
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+	conns    map[net.Conn]bool
+	done     sync.WaitGroup
+}
+
+func startTarget(t *testing.T, id string, serve func(*target, net.Conn, *http.Request, []byte) bool) *target {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &target{id: id, listener: listener, serve: serve, conns: make(map[net.Conn]bool)}
+	s.load.Store("0,0,4")
+	s.done.Go(s.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.mu.Lock()
+		for conn := range s.conns {
+			_ = conn.Close()
+		}
+		s.mu.Unlock()
+		s.done.Wait()
+	})
+	return s
+}
+
+func (s *target) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[conn] = true
+		s.mu.Unlock()
+		s.done.Go(func() { s.handle(conn) })
+	}
+}
+
+func (s *target) handle(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/health" {
+			s.answer(conn, 200, r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), "")
+			continue
+		}
+		s.mu.Lock()
+		s.requests, s.bodies = append(s.requests, r), append(s.bodies, string(body))
+		s.mu.Unlock()
+		if !s.serve(s, conn, r, body) {
+			return
+		}
+	}
+}
+
+// answer writes a whole answer with extra header lines.
+func (s *target) answer(conn net.Conn, status int, r *http.Request, header, body string) {
+	if header != "" {
+		header += "\r\n"
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), header, len(body), body)
+}
+
+func (s *target) received() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// run answers with the target's own success.
+func run(s *target, conn net.Conn, r *http.Request, _ []byte) bool {
+	s.ran.Add(1)
+	s.answer(conn, 200, r, "Signature: "+s.id, "from "+s.id)
+	return true
+}
+
+// noMetrics counts nothing.
+type noMetrics struct{}
+
+func (noMetrics) Request(string, time.Duration) {}
+func (noMetrics) Refusal(string)                {}
+func (noMetrics) Attempt(string)                {}
+
+// fixture is a gateway in front of targets.
+type fixture struct {
+	gateway *gateway.Gateway
+	server  *httptest.Server
+	view    atomic.Pointer[catalog.View]
+	targets []*target
+}
+
+func routes() []catalog.Route {
+	parts := []catalog.Part{{Service: "s", Weight: 1}}
+	return []catalog.Route{
+		{Name: "safe", Host: "127.0.0.1", Prefix: "/safe/", Idempotent: true, MaxAttempts: 3, Parts: parts,
+			Objective: 10 * time.Second, Timeout: testTimeout},
+		{Name: "unsafe", Host: "127.0.0.1", Prefix: "/unsafe/", MaxAttempts: 3, Parts: parts, Objective: 10 * time.Second,
+			Timeout: testTimeout},
+		{Name: "brief", Host: "127.0.0.1", Prefix: "/brief/", MaxAttempts: 1, Parts: parts, Timeout: 300 * time.Millisecond},
+	}
+}
+
+func start(t *testing.T, targets ...*target) *fixture {
+	f := &fixture{targets: targets}
+	f.view.Store(&catalog.View{})
+	begin := time.Now()
+	f.gateway = gateway.New(gateway.Options{Dialect: dialect, FailureDomain: "z", View: f.view.Load,
+		Instances: func() int { return 1 }, Repeats: gateway.Budget{Ratio: 1, Window: time.Minute, Allowance: 1000, Fresh: true},
+		BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler), Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
+		Now: func() time.Duration { return time.Since(begin) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { f.gateway.Run(ctx); close(ended) }()
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+		cancel()
+		<-ended
+	})
+	f.configure(catalog.Limits{})
+	return f
+}
+
+func (f *fixture) configure(limits catalog.Limits) {
+	config := &catalog.Config{Version: 1, Routes: routes(), Limits: limits,
+		Services: map[string]catalog.Service{"s": {Name: "s", HealthPath: "/health", MaxConnections: 100}}}
+	list := make([]*catalog.Target, len(f.targets))
+	for i, s := range f.targets {
+		list[i] = &catalog.Target{ID: s.id, Address: s.listener.Addr().String(), FailureDomain: "z", Service: "s", Slots: 4}
+	}
+	f.view.Store(&catalog.View{Config: config, Routes: catalog.NewMatcher(config.Routes),
+		Targets: map[string][]*catalog.Target{"s": list}})
+	f.gateway.ViewChanged()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// ask sends a request as a caller would.
+func (f *fixture) ask(t *testing.T, method, path, body string, header ...string) answer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, f.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Id", "req-"+strconv.FormatUint(rand.Uint64(), 36))
+	r.Header.Set("Deadline-Ms", "30000")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: string(got)}
+}
+
+// total returns how often targets ran requests.
+func (f *fixture) total() (ran int64) {
+	for _, s := range f.targets {
+		ran += s.ran.Load()
+	}
+	return ran
+}
--- /dev/null
+++ b/retry/share_test.go
@@ -0,0 +1,73 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodroute/dogwoodroute/retry"
+)
+
+// Guards against repeats beyond the fleet's budget in any window, summed over
+// instances whose windows and loads differ.
+func TestSharesKeepTheFleetBudget(t *testing.T) {
+	const (
+		ratio     = 0.2
+		allowance = 75.0
+		window    = 10 * time.Second
+		step      = 100 * time.Millisecond
+		steps     = 400
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 30).Draw(t, "instances")
+		shares := make([]*retry.Share, instances)
+		for i := range shares {
+			shares[i] = &retry.Share{Ratio: ratio, Allowance: allowance, Window: window, Fresh: true}
+		}
+		crest := rapid.IntRange(0, steps).Draw(t, "crest")
+		requests, repeats := make([]int, steps), make([]int, steps)
+		for n := range steps {
+			now := time.Duration(n) * step
+			for i, s := range shares {
+				arrivals := 1
+				if n > crest && n < crest+30 {
+					arrivals = 1 + i%5
+				}
+				for range arrivals {
+					s.Request(now)
+					requests[n]++
+					for s.Take(now, instances, 1) {
+						repeats[n]++
+					}
+				}
+			}
+		}
+		span := int(window / step)
+		sum := func(list []int, from, to int) (total int) {
+			for _, n := range list[max(0, from):max(0, to)] {
+				total += n
+			}
+			return total
+		}
+		for end := span; end <= steps; end++ {
+			counted := max(sum(requests, end-span, end), sum(requests, end-2*span, end-span),
+				sum(requests, end-3*span/2, end-span/2))
+			if used, most := sum(repeats, end-span, end), ratio*float64(counted)+allowance; float64(used) > most {
+				t.Fatalf("%d repeats in the window that ends at step %d, at most %.1f are allowed", used, end, most)
+			}
+		}
+	})
+}
+
+// Guards against an instance that spends an allowance that its former process
+// has spent.
+func TestRestartedInstanceHasNoAllowance(t *testing.T) {
+	s := &retry.Share{Ratio: 0.2, Allowance: 75, Window: 10 * time.Second}
+	if s.Take(time.Second, 1, 1) {
+		t.Fatal("a repeat was granted without requests in the first window")
+	}
+	if !s.Take(11*time.Second, 1, 1) {
+		t.Fatal("no repeat was granted after the first window")
+	}
+}
