Tell time-outs of an attempt from broken connections, test the placement

Cause: the deadline of a connection can pass a moment before that of its request, so a request over time got 502 or 504 by chance and its target counted as broken and was left out for a while. Change: a time-out is an outcome of its own; the target is to blame only if it took three times what was expected.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -48,7 +49,8 @@
 	attemptNotSent  attemptOutcome = "not-sent"
 	attemptBroken   attemptOutcome = "broken"  // no answer, or not a whole one
 	attemptSpoiled  attemptOutcome = "spoiled" // an answer that is not the target's
-	attemptEnded    attemptOutcome = "ended"   // cancelled: time over, caller gone, or another answer won
+	attemptTimedOut attemptOutcome = "timed-out"
+	attemptEnded    attemptOutcome = "ended" // cancelled: the caller has gone or another answer won
 )
 
 // safeToRepeat reports whether the request certainly did not run.
@@ -76,6 +78,8 @@
 	switch {
 	case errors.As(err, &failed) && failed.NotSent:
 		e.outcome = attemptNotSent
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
+		e.outcome = attemptTimedOut
 	case ctx.Err() != nil:
 		e.outcome = attemptEnded
 	}
@@ -129,10 +133,13 @@
 	return false
 }
 
-// result is what the placement learns from the end of an attempt that was sent
-// at a moment.
-func (e *ending) result(sent time.Duration) placement.Result {
-	r := placement.Result{Took: e.ended - sent}
+// hangFactor is the multiple of the expected time from which a target without
+// an answer is to blame for it.
+const hangFactor = 3
+
+// result is what the placement learns from the end of an attempt.
+func (e *ending) result(g grant) placement.Result {
+	r := placement.Result{Took: e.ended - g.sent}
 	switch e.outcome {
 	case attemptServed:
 		r.Answered = true
@@ -140,6 +147,8 @@
 		r.Failed = true
 	case attemptRejected:
 		r.Rejected = true
+	case attemptTimedOut:
+		r.Failed = r.Took > hangFactor*g.Expected
 	case attemptBroken:
 		r.Failed, r.Gone = true, true
 	case attemptNotSent:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,7 +57,7 @@
 			if final := r.take(f); final != nil {
 				return final
 			}
-			if ctx.Err() != nil { // it ended because the time was over
+			if f.outcome == attemptTimedOut || ctx.Err() != nil {
 				return r.expired()
 			}
 			if r.mayRepeat() {
@@ -94,7 +94,7 @@
 	message := r.message(a)
 	go func() {
 		e := r.send(r.ctx, message)
-		r.gateway.desk.ended(g, r.request.Route, e.result(g.sent), e.load)
+		r.gateway.desk.ended(g, r.request.Route, e.result(g), e.load)
 		r.finished <- finish{attempt: a, ending: e}
 	}()
 }
--- /dev/null
+++ b/placement/placer_test.go
@@ -0,0 +1,174 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/placement"
+)
+
+const (
+	service   = "s"
+	objective = time.Second // the assumed work is 300 ms at first
+)
+
+func newPlacer(targets ...*catalog.Target) *placement.Placer {
+	p := placement.New("near", rand.New(rand.NewPCG(1, 2)))
+	p.SetTargets(0, map[string][]*catalog.Target{service: targets})
+	return p
+}
+
+func newTarget(id, domain string) *catalog.Target {
+	return &catalog.Target{ID: id, FailureDomain: domain, Service: service, Slots: 4}
+}
+
+func newRequest(rank int) *placement.Request {
+	route := &catalog.Route{Name: "r", Objective: objective, Rank: rank, MaxAttempts: 2}
+	return &placement.Request{Route: route, Service: service, Deadline: 4 * time.Second}
+}
+
+func report(t *catalog.Target, running, waiting int, slowness float64) placement.Report {
+	return placement.Report{Target: t, Load: placement.Load{Running: running, Waiting: waiting, Slots: 4, Slowness: slowness}}
+}
+
+// Guards against a choice that looks at one figure of the load only.
+func TestChoiceTakesTheEarliestCompletion(t *testing.T) {
+	a, b, far := newTarget("a", "near"), newTarget("b", "near"), newTarget("far", "away")
+	for _, c := range []struct {
+		name    string
+		reports []placement.Report
+		want    string
+	}{
+		{"idle before busy", []placement.Report{report(a, 4, 0, 1), report(b, 0, 0, 1)}, "b"},
+		{"fast and busy before slow and idle", []placement.Report{report(a, 0, 0, 5), report(b, 2, 0, 1)}, "b"},
+		{"below the knee before above", []placement.Report{report(a, 3, 0, 1), report(b, 2, 0, 1.5)}, "b"},
+		{"near before far when equal", []placement.Report{report(far, 0, 0, 1), report(a, 0, 0, 1)}, "a"},
+		{"idle and far before slow and near", []placement.Report{report(a, 0, 0, 3), report(far, 0, 0, 1)}, "far"},
+	} {
+		is := is.New(t)
+		got, ok := newPlacer(a, b, far).Choose(0, newRequest(2), c.reports, placement.Late)
+		is.True(ok)                     // c.name
+		is.Equal(got.Target.ID, c.want) // c.name
+	}
+}
+
+// Guards against ordinary requests that push a target over its knee while they
+// could wait, and against urgent ones that wait beside a free slot.
+func TestDemandsOfAChoice(t *testing.T) {
+	a := newTarget("a", "near")
+	for _, c := range []struct {
+		name    string
+		rank    int
+		report  placement.Report
+		urgency placement.Urgency
+		want    bool
+	}{
+		{"below the knee", 2, report(a, 2, 0, 1), placement.InTime, true},
+		{"above the knee", 2, report(a, 3, 0, 1), placement.InTime, false},
+		{"above the knee, urgent", 1, report(a, 3, 0, 1), placement.InTime, true},
+		{"full, urgent", 1, report(a, 4, 0, 1), placement.InTime, false},
+		{"too slow for the objective", 2, report(a, 0, 0, 5), placement.InTime, false},
+		{"too slow, but before the deadline", 2, report(a, 0, 0, 5), placement.Late, true},
+		{"late, may queue", 2, report(a, 4, 1, 1), placement.Late, true},
+		{"late, the queue may be full", 2, report(a, 4, 2, 1), placement.Late, false},
+		{"after the deadline", 2, report(a, 0, 0, 20), placement.Late, false},
+		{"hedge to an idle one", 2, report(a, 0, 0, 1), placement.Spare, true},
+		{"no hedge to a slow one", 2, report(a, 0, 0, 2), placement.Spare, false},
+	} {
+		is := is.New(t)
+		_, ok := newPlacer(a).Choose(0, newRequest(c.rank), []placement.Report{c.report}, c.urgency)
+		is.Equal(ok, c.want) // c.name
+	}
+}
+
+// Guards against two requests for one free place that were both sent on the
+// same report.
+func TestSendsSinceTheReportCount(t *testing.T) {
+	is := is.New(t)
+	a := newTarget("a", "near")
+	p := newPlacer(a)
+	r := report(a, 2, 0, 1)
+	_, ok := p.Choose(1, newRequest(2), []placement.Report{r}, placement.InTime)
+	is.True(ok)
+	p.Sent(1, a.Incarnation())
+	_, ok = p.Choose(2, newRequest(2), []placement.Report{r}, placement.InTime)
+	is.True(!ok)
+}
+
+// Guards against requests for targets that fail although they report well, and
+// against targets that are left out for good.
+func TestFailingTargetIsAvoidedForAWhile(t *testing.T) {
+	is := is.New(t)
+	a, b := newTarget("a", "near"), newTarget("b", "near")
+	p := newPlacer(a, b)
+	r := newRequest(2)
+	for range 3 {
+		p.Sent(0, a.Incarnation())
+		p.Ended(0, a.Incarnation(), 0, r.Route, placement.Choice{Factor: 1}, placement.Result{Failed: true})
+	}
+	choose := func(now time.Duration) string {
+		r.Arrived, r.Deadline = now, now+10*time.Second
+		got, ok := p.Choose(now, r, []placement.Report{report(a, 0, 0, 1), report(b, 3, 0, 1)}, placement.Late)
+		is.True(ok)
+		return got.Target.ID
+	}
+	is.Equal(choose(0), "b")
+	is.Equal(choose(time.Minute), "a")
+}
+
+// Guards against probes for targets that do not answer while others do, and
+// against a service that is given up when none answers.
+func TestSilentTargetsAreAskedLast(t *testing.T) {
+	is := is.New(t)
+	a, b := newTarget("a", "near"), newTarget("b", "near")
+	p := newPlacer(a, b)
+	p.Probed(0, a.Incarnation(), false)
+	sample := p.Sample(0, newRequest(2), false)
+	is.Equal(len(sample), 1)
+	is.Equal(sample[0].ID, "b")
+	p.Probed(0, b.Incarnation(), false)
+	is.Equal(len(p.Sample(0, newRequest(2), false)), 2)
+	is.Equal(len(p.Sample(time.Minute, newRequest(2), false)), 2)
+}
+
+// Guards against a request that goes to the same target twice.
+func TestTriedTargetsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	a, b := newTarget("a", "near"), newTarget("b", "near")
+	r := newRequest(2)
+	r.Tried = []catalog.Incarnation{a.Incarnation()}
+	sample := newPlacer(a, b).Sample(0, r, false)
+	is.Equal(len(sample), 1)
+	is.Equal(sample[0].ID, "b")
+}
+
+// Guards against more probes than agreed, summed over the instances, and
+// against an instance that stops choosing when it may not probe.
+func TestProbesKeepTheirBound(t *testing.T) {
+	const (
+		instances = 10
+		perTarget = 6.0
+		seconds   = 60
+	)
+	is := is.New(t)
+	targets := make([]*catalog.Target, 8)
+	for i := range targets {
+		targets[i] = newTarget(fmt.Sprint("t", i), "near")
+	}
+	sent := 0
+	for range instances {
+		p := newPlacer(targets...)
+		p.SetProbeBound(0, perTarget, instances)
+		for now := time.Duration(0); now < seconds*time.Second; now += 10 * time.Millisecond {
+			sent += len(p.Sample(now, newRequest(2), false))
+		}
+		is.True(len(p.Blind(seconds*time.Second, newRequest(2))) > 0)
+	}
+	const burst = 8 // seconds
+	is.True(float64(sent) <= perTarget*float64(len(targets))*(seconds+burst))
+}
