Test the exchange of state over whole fleets in one process

Guards: changes reach all through few readers, others read when readers are killed or turned away, all instances restart, leaving and lost ones are not named, unreadable and large records.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,350 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/fleet"
+	"github.com/dogwoodroute/dogwoodroute/records"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testTimeout only ends a test that would otherwise hang.
+const testTimeout = time.Minute
+
+// store is a store whose answers a test controls.
+type store struct {
+	mu       sync.Mutex
+	records  map[string]records.Record
+	events   []records.Record
+	revision uint64
+	calls    map[string]int // by reader
+	refused  map[string]bool
+	changed  chan struct{}
+}
+
+func newStore() *store {
+	return &store{records: make(map[string]records.Record), revision: 1, calls: make(map[string]int),
+		refused: make(map[string]bool), changed: make(chan struct{})}
+}
+
+func (s *store) change(r records.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	r.Revision = s.revision
+	s.records[r.Key] = r
+	s.events = append(s.events, r)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) refuse(readers ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, reader := range readers {
+		s.refused[reader] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) readers() (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.calls {
+		names = append(names, name)
+	}
+	return names
+}
+
+// source is the store as one instance sees it.
+type source struct {
+	store *store
+	name  string
+}
+
+var errRefused = errors.New("refused")
+
+func (s *source) enter() error {
+	s.store.calls[s.name]++
+	if s.store.refused[s.name] {
+		return errRefused
+	}
+	return nil
+}
+
+func (s *source) List(context.Context) (fleet.Listing, error) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return fleet.Listing{}, err
+	}
+	list := fleet.Listing{Revision: s.store.revision}
+	for _, r := range s.store.records {
+		if !r.Deleted {
+			list.Records = append(list.Records, r)
+		}
+	}
+	return list, nil
+}
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (fleet.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s.store.mu.Lock()
+		err := s.enter()
+		list := fleet.Listing{Revision: s.store.revision}
+		for _, r := range s.store.events {
+			if r.Revision > after {
+				list.Records = append(list.Records, r)
+			}
+		}
+		changed := s.store.changed
+		s.store.mu.Unlock()
+		if err != nil || len(list.Records) > 0 {
+			return list, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return list, nil
+		}
+	}
+}
+
+func (s *source) Reset() {}
+
+// decoder reads "version" records as configurations and others as targets.
+type decoder struct{}
+
+func (decoder) Decode(key string, value []byte) (*catalog.Config, *catalog.Target, error) {
+	if key == "config" {
+		var version int64
+		_, err := fmt.Sscan(string(value), &version)
+		return &catalog.Config{Version: version}, nil, err
+	}
+	if strings.HasPrefix(string(value), "bad") {
+		return nil, nil, errors.New("unreadable")
+	}
+	return nil, &catalog.Target{ID: key, Service: "s", Slots: 1}, nil
+}
+
+// cluster is a fleet in one process; its instances have addresses 127.1.D.N.
+type cluster struct {
+	t       *testing.T
+	store   *store
+	port    uint16
+	domains []string
+	seeds   []netip.Addr
+	running map[netip.Addr]*instance
+}
+
+type instance struct {
+	*fleet.Task
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func newCluster(t *testing.T, domains int) *cluster {
+	c := &cluster{t: t, store: newStore(), running: make(map[netip.Addr]*instance)}
+	for d := range domains {
+		c.domains = append(c.domains, fmt.Sprint("d", d))
+	}
+	listener, err := net.Listen("tcp", "127.1.0.1:0") // a port that is free on one address is likely to be on all
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.port = netip.MustParseAddrPort(listener.Addr().String()).Port()
+	_ = listener.Close()
+	c.seeds = []netip.Addr{address(0, 1), address(domains-1, 1), netip.MustParseAddr("127.1.200.200")} // the last one is down
+	t.Cleanup(func() {
+		for ip := range c.running {
+			c.stop(ip)
+		}
+	})
+	return c
+}
+
+func address(domain, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 1, byte(domain), byte(n)})
+}
+
+func (c *cluster) start(domain, n int) *instance {
+	c.t.Helper()
+	ip := address(domain, n)
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, c.port).String())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	begin := time.Now()
+	i := &instance{ended: make(chan struct{})}
+	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
+		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Source: &source{store: c.store, name: ip.String()},
+		Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	go func() {
+		defer close(i.ended)
+		if err := i.Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	i.SetReady(true)
+	c.running[ip] = i
+	return i
+}
+
+func (c *cluster) startAll(perDomain int) {
+	for d := range c.domains {
+		for n := range perDomain {
+			c.start(d, n+1)
+		}
+	}
+}
+
+// stop kills an instance.
+func (c *cluster) stop(ip netip.Addr) {
+	i := c.running[ip]
+	delete(c.running, ip)
+	i.cancel()
+	<-i.ended
+}
+
+// await waits until a condition holds on all running instances.
+func (c *cluster) await(what string, holds func(*instance) bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for ip, i := range c.running {
+		for !holds(i) {
+			if time.Now().After(deadline) {
+				c.t.Fatalf("instance %s: %s does not hold", ip, what)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func version(n int64) func(*instance) bool {
+	return func(i *instance) bool { v := i.View(); return v.Config != nil && v.Config.Version == n }
+}
+
+func (c *cluster) setVersion(n int64) {
+	c.store.change(records.Record{Key: "config", Value: []byte(fmt.Sprint(n))})
+}
+
+// Guards against instances that never hear of a change, and against a store
+// that every instance reads.
+func TestChangesReachAllThroughFewReaders(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.setVersion(1)
+	c.startAll(4)
+	c.await("version 1", version(1))
+	c.await("12 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 12 })
+	c.store.mu.Lock()
+	c.store.calls = make(map[string]int)
+	c.store.mu.Unlock()
+	for n := int64(2); n < 6; n++ {
+		c.setVersion(n)
+		c.await("the next version", version(n))
+	}
+	is.True(len(c.store.readers()) <= 6) // half of the instances, although some may step in under load
+}
+
+// Guards against a fleet that hears of no change after its readers were killed,
+// or after the store turned them away while it serves others.
+func TestOthersReadWhenReadersFail(t *testing.T) {
+	for name, fail := range map[string]func(*cluster, []string){
+		"killed": func(c *cluster, readers []string) {
+			for _, reader := range readers {
+				c.stop(netip.MustParseAddr(reader))
+			}
+		},
+		"refused": func(c *cluster, readers []string) { c.store.refuse(readers...) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			c.setVersion(1)
+			c.startAll(4)
+			c.await("version 1", version(1))
+			c.await("8 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 8 })
+			c.store.mu.Lock()
+			c.store.calls = make(map[string]int)
+			c.store.mu.Unlock()
+			c.setVersion(2)
+			c.await("version 2", version(2))
+			readers := c.store.readers()
+			fail(c, readers[:min(len(readers), 4)])
+			c.setVersion(3)
+			c.await("version 3", version(3))
+		})
+	}
+}
+
+// Guards against a fleet that does not come back when all instances are lost at
+// once, and against state that an instance keeps from before.
+func TestAllInstancesRestart(t *testing.T) {
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	c.startAll(3)
+	c.await("version 1", version(1))
+	for ip := range c.running {
+		c.stop(ip)
+	}
+	c.setVersion(2)
+	c.startAll(3)
+	c.await("version 2", version(2))
+	c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+}
+
+// Guards against callers that are sent to instances that stop or are gone.
+func TestLeavingAndLostInstancesAreNotNamed(t *testing.T) {
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	c.startAll(3)
+	c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+	c.running[address(0, 2)].Leave()
+	c.await("5 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 5 })
+	c.stop(address(1, 2))
+	c.await("4 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 4 })
+}
+
+// Guards against an unreadable record that stops others from being applied.
+func TestUnreadableRecordDisturbsNoOther(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	i := c.start(0, 1)
+	c.store.change(records.Record{Key: "a", Value: []byte("x")})
+	c.store.change(records.Record{Key: "b", Value: []byte("bad")})
+	c.store.change(records.Record{Key: "config", Value: []byte("not a number")})
+	c.store.change(records.Record{Key: "c", Value: []byte("x")})
+	c.await("two targets", func(i *instance) bool { return len(i.View().Targets["s"]) == 2 })
+	is.Equal(i.View().Config, nil)
+	c.setVersion(3)
+	c.await("version 3", version(3))
+	c.store.change(records.Record{Key: "a", Deleted: true})
+	c.await("one target", func(i *instance) bool { return len(i.View().Targets["s"]) == 1 })
+}
+
+// Guards against large values that are cut or refused between instances.
+func TestLargeRecordReachesPeers(t *testing.T) {
+	c := newCluster(t, 1)
+	c.startAll(3)
+	c.store.change(records.Record{Key: "large", Value: []byte(strings.Repeat("abcdefgh", 100_000))})
+	c.await("the large record", func(i *instance) bool { return len(i.View().Targets["s"]) == 1 })
+}
