--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
@@ -23,12 +24,13 @@
 	budget          Budget
 	instances       func() int
 	probesPerTarget float64
+	log             *slog.Logger
 	shares          map[string]*retry.Share // by service
 }
 
 func newDesk(o Options) *desk {
 	return &desk{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
-		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances, probesPerTarget: o.ProbesPerTarget,
+		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances, probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		shares: make(map[string]*retry.Share)}
 }
 
@@ -80,7 +82,9 @@
 
 func (d *desk) probed(id catalog.Incarnation, r placement.Report, answered bool) {
 	d.loop.Post(func(now time.Duration) {
-		d.placer.Probed(now, id, answered)
+		if d.placer.Probed(now, id, answered) {
+			d.log.Info("target answers probes", "target", id.ID, "answers", answered)
+		}
 		if answered {
 			d.placer.Reported(r)
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,8 @@
 	attempts []*attempt
 	answer   *answer
 	writeErr error
+	// surveyed are the load reports of the last search that found no target.
+	surveyed []placement.Report
 	// limit is when the request gets its final answer.
 	limit time.Duration
 }
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -30,6 +30,8 @@
 type selection struct {
 	grant
 	refused *answer
+	// reports are what the last survey brought, for the log.
+	reports []placement.Report
 }
 
 // find asks targets for their load until one can take the request or the
@@ -54,7 +56,7 @@
 		}
 		now := g.options.Now()
 		if p != firstSend || now+pause-r.Arrived > hold || now+pause > r.Deadline {
-			return selection{refused: notRun(outcomeNoRoom, retryAfter)}
+			return selection{refused: notRun(outcomeNoRoom, retryAfter), reports: reports}
 		}
 		sleep(ctx, pause)
 	}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 )
@@ -32,6 +33,9 @@
 	if x.answer != nil && x.answer.retryAfter > 0 {
 		attributes = append(attributes, slog.Float64("retry_after_ms", millis(x.answer.retryAfter)))
 	}
+	if ended == outcomeNoRoom && x.request.Route != nil {
+		attributes = append(attributes, slog.Any("asked", x.asked()))
+	}
 	if x.writeErr != nil {
 		attributes = append(attributes, slog.String("write_error", x.writeErr.Error()))
 	}
@@ -45,6 +49,16 @@
 	g.options.Log.LogAttrs(x.caller.Context(), level, "request", attributes...)
 }
 
+// asked describes the load reports that left no target for the request.
+func (x *exchange) asked() []string {
+	list := make([]string, 0, len(x.surveyed))
+	for _, r := range x.surveyed {
+		list = append(list, fmt.Sprintf("%s running=%d waiting=%d slots=%d slowness=%.2g age_ms=%.1f", r.Target.ID, r.Load.Running,
+			r.Load.Waiting, r.Load.Slots, r.Load.Slowness, millis(x.gateway.options.Now()-r.At)))
+	}
+	return list
+}
+
 // group describes the attempt: the target, the report that decided, and the end.
 func (a *attempt) group(arrived time.Duration) slog.Attr {
 	fields := []any{slog.String("target", a.Target.ID), slog.String("address", a.Target.Address),
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -43,7 +43,7 @@
 	for {
 		select {
 		case s := <-r.chosen:
-			r.choosing = false
+			r.choosing, r.surveyed = false, s.reports
 			switch {
 			case s.refused == nil:
 				r.start(s.grant)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -53,17 +53,20 @@
 // Known reports whether the service has targets that take new work.
 func (p *Placer) Known(service string) bool { return len(p.services[service]) > 0 }
 
-// Probed notes whether a target answered a probe or accepted a connection.
-func (p *Placer) Probed(now time.Duration, id catalog.Incarnation, answered bool) {
+// Probed notes whether a target answered a probe, and reports whether that
+// changes what is believed of it.
+func (p *Placer) Probed(now time.Duration, id catalog.Incarnation, answered bool) (changed bool) {
 	t := p.targets[id]
 	if t == nil {
-		return
+		return false
 	}
+	changed = answered == (t.silent > 0)
 	if answered {
 		t.answered()
 	} else {
 		t.missed(now)
 	}
+	return changed
 }
 
 // Sent notes that a request goes to a target.
