Keep late requests below the knee, too

Cause: a request that could not meet its objective any more was sent to targets with up to half of their queue in use. Change: the knee holds for all but urgent requests. Two lines of TestDemandsOfAChoice asked for the former rule and are replaced by four for the present one.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -14,10 +14,6 @@
 	goodFailures = 0.1
 	// callerPath is the way to the caller and back, which counts for its objective.
 	callerPath = 6 * time.Millisecond
-	// queueShare is how many requests may wait at a target, as a share of its
-	// slots, for a request that is late anyway. Targets queue at least twice
-	// their slots; the rest is left for other instances' requests.
-	queueShare = 0.5
 	// lateHold is how long a late request looks for room, as a share of its objective.
 	lateHold = 0.3
 )
@@ -83,17 +79,19 @@
 	if now+e.took > r.Deadline {
 		return false
 	}
+	// Also late requests stay below the knee: above it they would slow down those
+	// that are in time, and a crest would not end.
+	limit := e.brisk
+	if r.Urgent() {
+		limit = e.slots
+	}
 	switch u {
 	case Spare:
 		return e.good(now)
 	case InTime:
-		limit := e.brisk
-		if r.Urgent() {
-			limit = e.slots
-		}
 		return e.occupied <= limit && now+e.took+callerPath <= r.Arrived+r.objective()
 	default:
-		return e.occupied <= e.slots+int(queueShare*float64(e.slots))
+		return e.occupied <= limit
 	}
 }
 
