Never answer 200 for a caller that is taken for gone, give up slow bodies

Cause: a handler that returns without an answer makes net/http send an empty 200. A caller that closes its sending side counts as gone and got that success. A body that never arrives held memory and a place without an end. Change: the connection is aborted; a body that is not complete at the request's limit gets 408, which is true since nothing was sent. Answers have two minutes to be read. TestCallerThatClosesItsSideGetsNoSuccess and TestSlowBodyIsGivenUp failed before.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -33,7 +33,8 @@
 	outcomeGone        outcome = "caller-gone"
 	outcomeBadRequest  outcome = "bad-request"
 	outcomeTooLarge    outcome = "too-large"
-	outcomeStopped     outcome = "stopped" // the process ends
+	outcomeSlowBody    outcome = "slow-body" // not run
+	outcomeStopped     outcome = "stopped"   // the process ends
 )
 
 // connectionHeaders concern one connection only, beside those that net/http
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // readBody reads the request's body whole: it is sent to a target only once it
@@ -16,6 +20,10 @@
 	if x.caller.ContentLength == 0 {
 		return nil
 	}
+	g := x.gateway
+	if err := x.connection.SetReadDeadline(time.Now().Add(x.limit - g.options.Now())); err != nil {
+		g.options.Log.Warn("no deadline for a body", "id", x.id, "error", err.Error())
+	}
 	var buffer bytes.Buffer
 	if n := x.caller.ContentLength; n > 0 {
 		if !x.hold(n) {
@@ -37,8 +45,16 @@
 		}
 		if err == io.EOF {
 			x.body = buffer.Bytes()
+			// After an error the deadline stays, so that net/http does not wait for
+			// the rest of the body.
+			if err := x.connection.SetReadDeadline(time.Time{}); err != nil {
+				g.options.Log.Warn("deadline of a body stays", "id", x.id, "error", err.Error())
+			}
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return &answer{status: http.StatusRequestTimeout, outcome: outcomeSlowBody}
+		}
 		if err != nil || n == 0 {
 			return &answer{status: http.StatusBadRequest, outcome: outcomeBadRequest}
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,17 +23,19 @@
 
 // exchange is one request of a caller. Its own goroutine owns it.
 type exchange struct {
-	gateway  *Gateway
-	caller   *http.Request
-	id       string
-	arrived  time.Duration
-	view     *catalog.View
-	request  placement.Request
-	body     []byte
-	held     int64
-	attempts []*attempt
-	answer   *answer
-	writeErr error
+	gateway *Gateway
+	caller  *http.Request
+	// connection is the caller's.
+	connection *http.ResponseController
+	id         string
+	arrived    time.Duration
+	view       *catalog.View
+	request    placement.Request
+	body       []byte
+	held       int64
+	attempts   []*attempt
+	answer     *answer
+	writeErr   error
 	// surveyed are the load reports of the last search that found no target.
 	surveyed []placement.Report
 	// limit is when the request gets its final answer.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,11 +86,15 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{gateway: g, caller: r, arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
-	if a := x.serve(); a != nil {
+	x := &exchange{gateway: g, caller: r, connection: http.NewResponseController(w), arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
+	a := x.serve()
+	if a != nil {
 		g.write(w, x, a)
 	}
 	x.report()
+	if a == nil {
+		panic(http.ErrAbortHandler) // closes the connection; a plain return would answer 200
+	}
 }
 
 func (g *Gateway) connections(address string) int {
--- a/node/server.go
+++ b/node/server.go
@@ -16,6 +16,10 @@
 	// idleTimeout is above what callers use: they give up an idle connection
 	// before it, so a request never crosses the close.
 	idleTimeout = 75 * time.Second
+	// writeTimeout bounds the time from the request's header to the end of the
+	// answer, so that a caller that reads nothing holds no memory for good. It is
+	// above any deadline of callers.
+	writeTimeout = 2 * time.Minute
 	// headerBytes bounds a request's header.
 	headerBytes = 64 << 10
 )
@@ -30,7 +34,7 @@
 
 func newServer(name, address string, handler http.Handler, log *slog.Logger) *server {
 	return &server{name: name, address: address, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
 
