Let each instance choose among 16 near and 16 far targets

Cause: on the grown sites every instance opened connections to every target of its domain. Change: each instance has an order of targets of its own and uses the first 16 that answer. Small services are not affected.

--- a/placement/placer.go
+++ b/placement/placer.go
@@ -1,16 +1,22 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 )
 
 // Placer is the decision state of one instance. One goroutine owns it.
 type Placer struct {
-	domain   string
-	random   *rand.Rand
+	domain string
+	random *rand.Rand
+	// seed makes this instance's order of targets its own.
+	seed     uint64
 	targets  map[catalog.Incarnation]*target
 	services map[string][]*target
 	work     map[string]*work   // by route
@@ -20,7 +26,7 @@
 
 // New returns a placer of an instance in a failure domain.
 func New(domain string, random *rand.Rand) *Placer {
-	return &Placer{domain: domain, random: random, targets: make(map[catalog.Incarnation]*target),
+	return &Placer{domain: domain, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), work: make(map[string]*work),
 		knees: make(map[string]float64)}
 }
@@ -40,10 +46,19 @@
 			targets[entry.Incarnation()] = t
 			p.services[name] = append(p.services[name], t)
 		}
+		slices.SortFunc(p.services[name], func(a, b *target) int { return cmp.Compare(p.order(a), p.order(b)) })
 	}
 	p.targets = targets
 }
 
+// order is this instance's own order of targets; any two instances have
+// different ones.
+func (p *Placer) order(t *target) uint64 {
+	h := xxhash.NewWithSeed(p.seed)
+	_, _ = h.WriteString(t.ID) // a hash never fails
+	return h.Sum64()
+}
+
 // SetProbeBound sets the number of probes that a target may get a second from
 // all instances together; 0 is no bound.
 func (p *Placer) SetProbeBound(now time.Duration, perTarget float64, instances int) {
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -149,6 +149,29 @@
 	is.Equal(sample[0].ID, "b")
 }
 
+// Guards against connections of every instance to every target of a large
+// service, and against targets that no instance uses.
+func TestInstancesUseSubsetsOfLargeServices(t *testing.T) {
+	is := is.New(t)
+	targets := make([]*catalog.Target, 100)
+	for i := range targets {
+		targets[i] = newTarget(fmt.Sprint("t", i), "near")
+	}
+	used := make(map[string]bool)
+	for seed := range uint64(40) {
+		p := placement.New("near", rand.New(rand.NewPCG(seed, 1)))
+		p.SetTargets(0, map[string][]*catalog.Target{service: targets})
+		own := make(map[string]bool)
+		for range 500 {
+			for _, t := range p.Sample(0, newRequest(2), false) {
+				own[t.ID], used[t.ID] = true, true
+			}
+		}
+		is.Equal(len(own), 16)
+	}
+	is.Equal(len(used), len(targets))
+}
+
 // Guards against more probes than agreed, summed over the instances, and
 // against an instance that stops choosing when it may not probe.
 func TestProbesKeepTheirBound(t *testing.T) {
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -13,6 +13,10 @@
 	// A choice in the own domain costs no bytes between domains, so more are asked there.
 	nearSample = 4
 	farSample  = 3
+	// subset is the number of answering targets of the own failure domain, and of
+	// the others, among which this instance chooses. It bounds the connections of
+	// large services, and leaves enough choice.
+	subset = 16
 	// blindSample is how many targets are compared by what is known of them when
 	// no probe may be sent.
 	blindSample = 2
@@ -52,11 +56,14 @@
 	return reports
 }
 
-// eligible returns the service's targets that the request may go to, in random
-// order. Those that did not answer lately are left out while there are others.
+// eligible returns targets of the service that the request may go to, in random
+// order: the first ones in this instance's own order, so that they stay the same. Those that did not answer lately are left out while there are others.
 func (p *Placer) eligible(now time.Duration, r *Request, wanted func(*target) bool) []*target {
 	var good, doubtful []*target
 	for _, t := range p.services[r.Service] {
+		if len(good) == subset {
+			break
+		}
 		switch {
 		case !wanted(t) || slices.Contains(r.Tried, t.Incarnation()):
 		case now < t.suspended:
