Share one backoff and sleep, drop deprecated options

Cause: three packages had a sleep of their own and the reader doubled pauses by hand. Change: internal/backoff serves all; no change of behaviour but the jitter of the reader.

--- a/configservice/configservice_test.go
+++ b/configservice/configservice_test.go
@@ -13,8 +13,9 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
-	"github.com/dogwoodroute/dogwoodroute/internal/standin"
 	"github.com/dogwoodroute/dogwoodroute/configservice"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
+	"github.com/dogwoodroute/dogwoodroute/internal/standin"
 )
 
 // Guards against a faulty service whose answer is taken for a value, or whose
@@ -67,10 +68,13 @@
 	hold  time.Duration
 }
 
-func (s *source) Read(context.Context) (configservice.Value, error) { s.calls++; return s.next(s.calls) }
+func (s *source) Read(context.Context) (configservice.Value, error) {
+	s.calls++
+	return s.next(s.calls)
+}
 func (s *source) Watch(ctx context.Context, _ string) (configservice.Value, error) {
 	s.calls++
-	configservice.Sleep(ctx, s.hold)
+	backoff.Sleep(ctx, s.hold)
 	return s.next(s.calls)
 }
 
--- a/configservice/follower.go
+++ b/configservice/follower.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 )
 
 // Pauses of a Follower. A service that answers at once with ever new values is
@@ -44,14 +46,14 @@
 type Follower struct {
 	options FollowerOptions
 	refresh chan struct{}
-	backoff Backoff
+	backoff backoff.Backoff
 	tag     string
 }
 
 // NewFollower returns a follower; call Run once.
 func NewFollower(o FollowerOptions) *Follower {
 	return &Follower{options: o, refresh: make(chan struct{}, 1),
-		backoff: Backoff{Min: minFailurePause, Max: maxFailurePause, Rand: o.Rand}}
+		backoff: backoff.Backoff{Min: minFailurePause, Max: maxFailurePause, Rand: o.Rand}}
 }
 
 // Refresh ends a pending watch and reads the value anew, for a reader that no
@@ -72,11 +74,11 @@
 		}
 		if refreshed {
 			f.tag = ""
-			Sleep(ctx, jitter(f.options.Rand, minCallInterval))
+			backoff.Sleep(ctx, backoff.Jitter(f.options.Rand, minCallInterval))
 			continue
 		}
 		f.options.Deliver(delivery)
-		Sleep(ctx, f.pause(delivery, time.Since(delivery.Started)))
+		backoff.Sleep(ctx, f.pause(delivery, time.Since(delivery.Started)))
 	}
 }
 
@@ -115,7 +117,7 @@
 	case d.Err == nil && d.Value.Tag != "" && d.Value.Tag != f.tag:
 		f.tag = d.Value.Tag
 		f.backoff.Reset()
-		return jitter(f.options.Rand, minCallInterval)
+		return backoff.Jitter(f.options.Rand, minCallInterval)
 	case errors.Is(d.Err, ErrUnchanged) && took >= fullWait:
 		f.backoff.Reset()
 		return 0
--- a/confsync/peers.go
+++ b/confsync/peers.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/dogwoodroute/dogwoodroute/configservice"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 )
 
 // gather asks all live listed peers at a start, until each has answered or the
@@ -31,7 +31,7 @@
 
 // ask repeats until the peer answered and, if it has a higher version, sent it.
 func (s *Syncer) ask(ctx context.Context, peer string) {
-	backoff := configservice.Backoff{Min: retryPause, Max: time.Second}
+	pauses := backoff.Backoff{Min: retryPause, Max: time.Second}
 	for ctx.Err() == nil {
 		version, digest, err := s.options.Peers.Ask(ctx, peer)
 		if err == nil {
@@ -40,7 +40,7 @@
 				return
 			}
 		}
-		configservice.Sleep(ctx, backoff.Next())
+		backoff.Sleep(ctx, pauses.Next())
 	}
 }
 
--- a/confsync/start_test.go
+++ b/confsync/start_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodroute/dogwoodroute/configservice"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -37,7 +38,7 @@
 	if _, err := s.Read(ctx); err != nil {
 		return configservice.Value{}, err
 	}
-	configservice.Sleep(ctx, 20*time.Second)
+	backoff.Sleep(ctx, 20*time.Second)
 	return configservice.Value{}, configservice.ErrUnchanged
 }
 
--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -49,7 +49,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithConnectParams(params), grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
-		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithSharedWriteBuffer(true))
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
 	if err != nil {
 		return nil, errors.Wrapf(err, "make client of peer %s", ip)
 	}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 )
 
 const (
@@ -50,7 +51,7 @@
 }
 
 func (r *reader) run(ctx context.Context) {
-	backoff := firstBackoff
+	pauses := backoff.Backoff{Min: firstBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
 		report := r.step(ctx)
 		if ctx.Err() != nil {
@@ -58,15 +59,14 @@
 		}
 		r.deliver(report)
 		if report.err == nil {
-			backoff = firstBackoff
+			pauses.Reset()
 			if len(report.listing.Records) > 0 {
-				sleep(ctx, gatherFor)
+				backoff.Sleep(ctx, gatherFor)
 			}
 			continue
 		}
 		r.source.Reset()
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff.Sleep(ctx, pauses.Next())
 	}
 }
 
@@ -100,12 +100,3 @@
 	report.afterOutage = now < r.lapses
 	return report
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -104,7 +104,7 @@
 		t.readFrom = t.started + firstStartDelay
 	}
 	server := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
-		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.SharedWriteBuffer(true), grpc.ConnectionTimeout(exchangeTimeout))
+		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.ConnectionTimeout(exchangeTimeout))
 	peerapi.RegisterFleetServer(server, &service{task: t})
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(t.options.Listener) }()
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/transport"
 )
@@ -58,7 +59,7 @@
 		if p != firstSend || now+pause-r.Arrived > hold || now+pause > r.Deadline {
 			return selection{refused: notRun(outcomeNoRoom, retryAfter), reports: reports}
 		}
-		sleep(ctx, pause)
+		backoff.Sleep(ctx, pause)
 	}
 }
 
@@ -155,12 +156,3 @@
 	}
 	return placement.Report{Target: t, Load: load, At: g.options.Now()}, true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/configservice/backoff.go
+++ b/internal/backoff/backoff.go
@@ -1,4 +1,4 @@
-package configservice
+package backoff
 
 import (
 	"context"
@@ -23,14 +23,14 @@
 // from calling together.
 func (b *Backoff) Next() time.Duration {
 	b.current = min(max(2*b.current, b.Min), b.Max)
-	return jitter(b.Rand, b.current)
+	return Jitter(b.Rand, b.current)
 }
 
 // Reset makes the next pause start at Min again.
 func (b *Backoff) Reset() { b.current = 0 }
 
-// jitter returns a duration from d/2 to 3d/2.
-func jitter(r *rand.Rand, d time.Duration) time.Duration {
+// Jitter returns a duration from d/2 to 3d/2. Without r it uses the global source.
+func Jitter(r *rand.Rand, d time.Duration) time.Duration {
 	if d <= 0 {
 		return 0
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -6,6 +6,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 )
 
 const (
@@ -65,19 +67,10 @@
 	defer cancel()
 	n.gateway.Stop()
 	n.fleet.Leave()
-	sleep(ctx, time.Duration(acceptShare*float64(limit)))
+	backoff.Sleep(ctx, time.Duration(acceptShare*float64(limit)))
 	for _, s := range n.servers {
 		if err := s.shutdown(ctx); err != nil {
 			n.options.Log.Warn("stop cut requests", "error", err.Error(), "in_flight", n.gateway.InFlight())
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
