--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -73,6 +73,9 @@
 	if rank < wantedReaders {
 		return true
 	}
+	if r.self.State.Has(StoreFailed) {
+		return false // the first ones go on trying; calls are priced and limited
+	}
 	return silence > r.patience()+time.Duration(rank)*takeoverStep
 }
 
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -30,7 +30,8 @@
 
 func newDesk(o Options) *desk {
 	return &desk{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
-		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances, probesPerTarget: o.ProbesPerTarget, log: o.Log,
+		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances,
+		probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		shares: make(map[string]*retry.Share)}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,7 +86,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{gateway: g, caller: r, connection: http.NewResponseController(w), arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
+	x := &exchange{gateway: g, caller: r, connection: http.NewResponseController(w),
+		arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
 	a := x.serve()
 	if a != nil {
 		g.write(w, x, a)
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -57,7 +57,8 @@
 }
 
 // eligible returns targets of the service that the request may go to, in random
-// order: the first ones in this instance's own order, so that they stay the same. Those that did not answer lately are left out while there are others.
+// order: the first ones in this instance's own order, so that they stay the
+// same. Those that did not answer lately are left out while there are others.
 func (p *Placer) eligible(now time.Duration, r *Request, wanted func(*target) bool) []*target {
 	var good, doubtful []*target
 	for _, t := range p.services[r.Service] {
