Give back a target that is found after its request has ended

Cause: a request that ended while a hedge or retry was looked for left the send counted at the target that was then found, so the list of sends of that target grew without end. Change: the search's result is given back. Test: TestAbandonedSearchGivesItsTargetBack.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/placement"
 )
 
 // maxRejections bounds the sends that targets rejected, beyond the attempts of
@@ -39,6 +41,7 @@
 	r := &race{exchange: x, ctx: ctx, finished: make(chan finish, limit), chosen: make(chan selection, limit),
 		hedge: time.NewTimer(time.Hour)}
 	defer r.hedge.Stop()
+	defer r.abandon()
 	r.choose(firstSend)
 	for {
 		select {
@@ -85,6 +88,19 @@
 	go func() { r.chosen <- r.find(r.ctx, &request, p) }()
 }
 
+// abandon gives back the target that a search under way may still find.
+func (r *race) abandon() {
+	if !r.choosing {
+		return
+	}
+	go func() {
+		if s := <-r.chosen; s.refused == nil {
+			r.gateway.desk.ended(s.grant, r.request.Route, placement.Result{}, placement.Load{})
+		}
+	}()
+}
+
+// start sends the request to a target.
 func (r *race) start(g grant) {
 	a := &attempt{grant: g, number: len(r.attempts) + 1}
 	r.attempts = append(r.attempts, a)
