Share the removal of headers that Connection names, drop unused state

Cause: the gateway repeated a loop of the entry package; the roster kept the time of the last contact and returned a value that nobody read. Change: transport.RemoveNamedByConnection serves both; the rest is removed. No change of behaviour; no test changed.

--- a/entry/headers.go
+++ b/entry/headers.go
@@ -44,11 +44,7 @@
 
 // removeHop removes the headers that concern one connection.
 func removeHop(h http.Header) {
-	for _, names := range h["Connection"] {
-		for name := range strings.SplitSeq(names, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
+	transport.RemoveNamedByConnection(h)
 	for _, name := range hopHeaders {
 		delete(h, name)
 	}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -230,7 +230,7 @@
 	return s
 }
 
-// merge takes a peer's state and reports whether it held news of records.
+// merge takes a peer's state.
 func (t *Task) merge(now time.Duration, s *peerapi.FleetState) {
 	if s.GetSelf() == nil {
 		return
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -58,9 +58,7 @@
 	Member
 	// heard is when the heartbeat last increased.
 	heard time.Duration
-	// contact is when an exchange with it last succeeded.
-	contact time.Duration
-	// failures counts exchanges that failed since then.
+	// failures counts exchanges that failed since the last one that succeeded.
 	failures int
 	// revision is the revision that it last reported.
 	revision uint64
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -26,33 +26,27 @@
 	return &roster{self: self, peers: make(map[netip.Addr]*peer)}
 }
 
-// learn merges a statement and reports whether it was news. direct is true when
-// it comes from the member itself.
-func (r *roster) learn(now time.Duration, m Member, direct bool) bool {
+// learn merges a statement. direct is true when it comes from the member itself.
+func (r *roster) learn(now time.Duration, m Member, direct bool) {
 	if m.IP == r.self.IP {
-		return false
+		return
 	}
 	p := r.peers[m.IP]
 	if p == nil {
-		p = &peer{Member: m, heard: now}
-		r.peers[m.IP] = p
-		if direct {
-			p.contact = now
-		}
-		return true
+		r.peers[m.IP] = &peer{Member: m, heard: now}
+		return
 	}
 	if direct {
-		p.contact, p.failures = now, 0
+		p.failures = 0
 	}
 	restarted := m.Incarnation != p.Incarnation
 	if !m.newer(&p.Member) || restarted && !direct && m.Incarnation == p.former {
-		return false
+		return
 	}
 	if restarted {
 		p.former, p.revision = p.Incarnation, 0
 	}
 	p.Member, p.heard = m, now
-	return true
 }
 
 // failed notes an exchange that got no answer.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,11 +89,7 @@
 func (x *exchange) message(a *attempt) *transport.Attempt {
 	d := &x.gateway.options.Dialect
 	header := maps.Clone(x.caller.Header)
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") { // these concern the caller's connection
-			header.Del(strings.TrimSpace(name))
-		}
-	}
+	transport.RemoveNamedByConnection(header)
 	header[d.Expected] = []string{a.Target.ID}
 	left := max(0, (x.limit - x.gateway.options.Now()).Milliseconds())
 	header[d.Deadline] = []string{strconv.FormatInt(left, 10)}
--- a/transport/request.go
+++ b/transport/request.go
@@ -15,6 +15,16 @@
 var skipped = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Host": true, "Content-Length": true}
 
+// RemoveNamedByConnection removes the headers that the Connection header names:
+// they concern one connection and are not passed on.
+func RemoveNamedByConnection(h http.Header) {
+	for _, names := range h["Connection"] {
+		for name := range strings.SplitSeq(names, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+}
+
 // check refuses requests that cannot be written as one well-formed HTTP/1.1
 // request. A line break in a value would let a caller smuggle a second request.
 func (a *Attempt) check() error {
