Hold callers to the configured header size, header time and idle time

Cause: only the size of bodies followed the configuration; the other three limits were fixed (64 KB, 5 s, 75 s), because net/http takes its times when the server starts. A connection now limits itself: net/http reports its states, and the limits in force count each time a wait begins. Headers over the size get 431. net/http's own bound on header memory stays, at 256 KB.

Ruled out: one http.Server for each version of the limits; connections opened before a change would keep the old limits, and a stop would have to end several servers. Telling net/http's two read deadlines apart in SetReadDeadline relies on the order of its calls.

Tests: TestCallersAreLimitedInTime and TestHeaderLimit fail on the former code.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,6 +49,9 @@
 	if x.view.Config == nil {
 		return notRun(outcomeNoConfig, coldRetryAfter)
 	}
+	if limit := x.view.Config.Limits.HeaderBytes; limit > 0 && headerBytes(x.caller) > limit {
+		return &answer{status: http.StatusRequestHeaderFieldsTooLarge, outcome: outcomeTooLarge}
+	}
 	path, _, _ := strings.Cut(x.caller.RequestURI, "?")
 	route := x.view.Routes.Match(x.caller.Host, path)
 	if route == nil {
@@ -98,3 +101,15 @@
 	}
 	return notRun(outcomeStopped, coldRetryAfter)
 }
+
+// headerBytes returns the length of the request line and the header fields.
+func headerBytes(r *http.Request) int {
+	const perField = len(": \r\n")
+	n := len(r.Method) + len(" ") + len(r.RequestURI) + len(" HTTP/1.1\r\n") + len("Host") + len(r.Host) + perField
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + perField
+		}
+	}
+	return n
+}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -259,6 +259,17 @@
 	is.Equal(f.total(), int64(1))
 }
 
+// Guards against headers over the configured limit that reach a target.
+func TestHeaderLimit(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", run))
+	f.configure(catalog.Limits{HeaderBytes: 1000})
+	is.Equal(f.ask(t, "POST", "/unsafe/x", "", "Note", strings.Repeat("n", 500)).status, 200)
+	is.Equal(f.ask(t, "POST", "/unsafe/x", "", "Note", strings.Repeat("n", 1000)).status, 431)
+	is.Equal(f.ask(t, "POST", "/unsafe/"+strings.Repeat("n", 1000), "").status, 431)
+	is.Equal(f.total(), int64(1))
+}
+
 // Guards against an instance that stops and goes on taking connections for
 // ready, or keeps callers' connections.
 func TestStoppingGatewayServesAndCloses(t *testing.T) {
--- /dev/null
+++ b/node/caller_conn_test.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+)
+
+// pipeListener accepts in-memory connections, whose times are those of the test.
+type pipeListener struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial returns the caller's end of a new connection to a server with limits.
+func dial(t *testing.T, limits func() catalog.Limits) net.Conn {
+	t.Helper()
+	l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Minute) // longer than both limits: they don't hold for a request in progress
+		_, _ = io.Copy(w, r.Body)
+	})
+	server := &http.Server{Handler: handler, ConnState: connState} //nolint:gosec // the connections are limited
+	go func() {
+		if err := server.Serve(&callerListener{Listener: l, limits: limits}); !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("serve: %v", err)
+		}
+	}()
+	t.Cleanup(func() { _ = server.Close() })
+	theirs, ours := net.Pipe()
+	l.conns <- theirs
+	t.Cleanup(func() { _ = ours.Close() })
+	return ours
+}
+
+// closedAfter returns how long the server keeps the connection open.
+func closedAfter(t *testing.T, conn net.Conn) time.Duration {
+	t.Helper()
+	start := time.Now()
+	if n, err := conn.Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Fatal("got an answer instead of a close")
+	}
+	return time.Since(start)
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against the limits of the configuration being ignored, against limits
+// that hold only for connections opened after a change, and against a limit
+// that ends a request in progress.
+func TestCallersAreLimitedInTime(t *testing.T) {
+	limits := catalog.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	tests := []struct {
+		name   string
+		limits catalog.Limits
+		first  bool // after a whole request
+		text   string
+		want   time.Duration
+	}{
+		{"nothing sent", limits, false, "", 15 * time.Second},
+		{"part of a header", limits, false, "GET / HTTP/1.1\r\nHo", 3 * time.Second},
+		{"idle after a request", limits, true, "", 15 * time.Second},
+		{"part of a header after a request", limits, true, "GE", 3 * time.Second},
+		{"no idle limit configured", catalog.Limits{}, true, "", defaultIdleTimeout},
+		{"no header limit configured", catalog.Limits{}, false, "G", defaultHeaderTimeout},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var inForce atomic.Pointer[catalog.Limits]
+				inForce.Store(&test.limits)
+				if test.first {
+					inForce.Store(&catalog.Limits{}) // when the connection is opened
+				}
+				conn := dial(t, func() catalog.Limits { return *inForce.Load() })
+				if test.first {
+					send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+					inForce.Store(&test.limits)
+					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					is.NoErr(err)
+					is.Equal(response.StatusCode, http.StatusOK)
+				}
+				send(t, conn, test.text)
+				is.Equal(closedAfter(t, conn), test.want)
+			})
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 	"github.com/dogwoodroute/dogwoodroute/metrics"
@@ -99,13 +100,13 @@
 	}
 	resolve := func(o gateway.Origin) ([]string, time.Duration) { return n.resolver.resolve(n.fleet.Snapshot(), o) }
 	n.servers = []*server{
-		newServer("callers", s.Addresses.Callers, n.gateway, n.options.Log),
-		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.options.Log),
-		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.options.Log),
+		newServer("callers", s.Addresses.Callers, n.gateway, n.limits, n.options.Log),
+		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.limits, n.options.Log),
+		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.limits, n.options.Log),
 	}
 	if n.options.MetricsPort > 0 {
 		address := net.JoinHostPort(host, strconv.Itoa(n.options.MetricsPort))
-		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.options.Log))
+		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.limits, n.options.Log))
 	}
 	for _, server := range n.servers {
 		if err := server.listen(); err != nil {
@@ -115,6 +116,14 @@
 	return nil
 }
 
+// limits returns what the configuration in force allows callers.
+func (n *Node) limits() catalog.Limits {
+	if config := n.fleet.View().Config; config != nil {
+		return config.Limits
+	}
+	return catalog.Limits{}
+}
+
 // viewChanged passes a new view on to the gateway.
 func (n *Node) viewChanged() {
 	n.gateway.ViewChanged()
--- a/node/server.go
+++ b/node/server.go
@@ -8,34 +8,32 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 )
 
 const (
-	// headerTimeout bounds the time to receive a request's header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is above what callers use: they give up an idle connection
-	// before it, so a request never crosses the close.
-	idleTimeout = 75 * time.Second
 	// writeTimeout bounds the time from the request's header to the end of the
 	// answer, so that a caller that reads nothing holds no memory for good. It is
 	// above any deadline of callers.
 	writeTimeout = 2 * time.Minute
-	// headerBytes bounds a request's header.
-	headerBytes = 64 << 10
+	// headerBytes bounds the memory for a request's header. The configuration's
+	// bound holds besides.
+	headerBytes = 256 << 10
 )
 
 // server is one listening HTTP server.
 type server struct {
 	name     string
 	address  string
+	limits   func() catalog.Limits
 	http     *http.Server
 	listener net.Listener
 }
 
-func newServer(name, address string, handler http.Handler, log *slog.Logger) *server {
-	return &server{name: name, address: address, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
+func newServer(name, address string, handler http.Handler, limits func() catalog.Limits, log *slog.Logger) *server {
+	return &server{name: name, address: address, limits: limits, http: &http.Server{Handler: handler, ConnState: connState,
+		WriteTimeout: writeTimeout, MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
 
 func (s *server) listen() error {
@@ -43,7 +41,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.name)
 	}
-	s.listener = listener
+	s.listener = &callerListener{Listener: listener, limits: s.limits}
 	return nil
 }
 
