Add a soak of real processes with faults injected from outside

dogwoodroute soak starts dogwoodroute-edge as separate processes, puts a loopback proxy before every target, store and entry, and lets signals, restarts, configurations, drains, taken over addresses, failing targets and broken links come in series that overlap. A seed fixes the schedule.

The links between instances are direct: instances tell each other their addresses, so a proxy would need a setting that only the soak uses. Pauses and kills disturb these links. Time of day and disk are not disturbed, since no instance reads them.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -20,6 +20,6 @@
 	bench := newBenchCommand()
 	bench.AddCommand(newCapacityCommand())
 	command.AddCommand(newCheckCommand(), newStatusCommand(), newTimelineCommand(), newResolveCommand(),
-		newSendCommand(), newReplayCommand(), newDemoCommand(), bench)
+		newSendCommand(), newReplayCommand(), newDemoCommand(), newSoakCommand(), bench)
 	return command
 }
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/platform/platformtest"
+)
+
+// services are those of the targets, which take turns.
+var services = []string{"s0", "s1"}
+
+// fleet is everything of a run: processes, stand-ins and links.
+type fleet struct {
+	options    Options
+	started    time.Time
+	ledger     *ledger
+	store      *platformtest.Store
+	instances  []*instance
+	targets    []*target
+	client     *http.Client
+	configLock sync.Mutex
+	config     catalog.Config
+}
+
+// newFleet opens all sockets. Nothing runs yet.
+func newFleet(o Options) (*fleet, error) {
+	n, listener, err := chooseNetwork(o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if o.Program, err = filepath.Abs(o.Program); err != nil {
+		return nil, err
+	}
+	f := &fleet{options: o, started: time.Now(), ledger: new(ledger), store: platformtest.NewStoreOn(listener),
+		client: &http.Client{Timeout: dialTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	for number := range o.Targets {
+		t, err := newTarget(n, number, f.ledger, f.now, platform.Dialect(), services[number/len(domains)%len(services)])
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		f.targets = append(f.targets, t)
+		f.publish(t)
+	}
+	seeds := []string{n.address(instancePart, 0, peerPort), n.address(instancePart, o.Instances-1, peerPort)}
+	for number := range o.Instances {
+		i, err := newInstance(n, o, number, seeds, f.store.Address())
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		f.instances = append(f.instances, i)
+	}
+	f.config = catalog.Config{Version: 1, Services: make(map[string]catalog.Service)}
+	for _, name := range services {
+		f.config.Services[name] = catalog.Service{Name: name, HealthPath: healthPath, MaxConnections: 1000}
+	}
+	for number, r := range routes {
+		f.config.Routes = append(f.config.Routes, catalog.Route{Name: r.name, Host: host, Prefix: "/" + r.name + "/",
+			Parts: []catalog.Part{{Service: services[number%len(services)], Weight: 1}}, Idempotent: r.idempotent,
+			Timeout: patience, Objective: patience / 4, Rank: number, MaxAttempts: 3})
+	}
+	f.putConfig()
+	return f, nil
+}
+
+func (f *fleet) now() time.Duration { return time.Since(f.started) }
+
+// at returns the instance with an address for callers.
+func (f *fleet) at(address string) *instance {
+	for _, i := range f.instances {
+		if i.settings.Addresses.Callers == address {
+			return i
+		}
+	}
+	return nil
+}
+
+// publish writes a target's entry to the store.
+func (f *fleet) publish(t *target) {
+	entry := t.identity()
+	f.store.PutTarget(&entry)
+	if entry.Draining {
+		f.ledger.left(entry.ID, f.now())
+	}
+}
+
+// withdraw removes a target's entry from the store.
+func (f *fleet) withdraw(t *target) {
+	id := t.identity().ID
+	f.store.DeleteTarget(id)
+	f.ledger.left(id, f.now())
+}
+
+// putConfig writes the present configuration with a new version.
+func (f *fleet) putConfig() {
+	f.config.Version += 1 + f.config.Version%3
+	named := make(map[string][]string)
+	for _, r := range f.config.Routes {
+		for _, p := range r.Parts {
+			named[r.Name] = append(named[r.Name], p.Service)
+		}
+	}
+	f.store.PutConfig(&f.config)
+	f.ledger.configured(configured{at: f.now(), services: named})
+}
+
+// settle waits until every instance says that it serves callers, and returns
+// those that do not.
+func (f *fleet) settle(ctx context.Context, limit time.Duration) []string {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var missing []string
+	for _, i := range f.instances {
+		for !platformtest.Ready(ctx, f.client, i.settings.Addresses.Readiness) && ctx.Err() == nil {
+			wait(ctx, 20*time.Millisecond)
+		}
+		if ctx.Err() != nil {
+			missing = append(missing, i.settings.ID)
+		}
+	}
+	return missing
+}
+
+// close ends all processes that the run started, and all stand-ins.
+func (f *fleet) close() {
+	for _, i := range f.instances {
+		i.ended(0)
+		i.close()
+	}
+	for _, t := range f.targets {
+		t.close()
+	}
+	f.store.Close()
+}
--- /dev/null
+++ b/internal/soak/instance.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/node"
+	"github.com/dogwoodroute/dogwoodroute/platform/platformtest"
+)
+
+// instance is one process of the program under test. Its methods are safe for
+// concurrent use; signals go to the process that it started, by its id.
+type instance struct {
+	settings *node.Settings
+	program  string
+	path     string // of the settings file
+	log      string
+	entry    *link // from callers
+	store    *link // to the store
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{} // closed when the process has ended
+	asked   bool          // the process was asked to end, or killed
+	killed  bool
+	faults  []string // promises that the process itself broke
+}
+
+func newInstance(n network, o Options, number int, seeds []string, storeAddress string) (*instance, error) {
+	id := fmt.Sprintf("i%d", number)
+	store, err := newLink(n.address(storePart, number+1, storePort), storeAddress)
+	if err != nil {
+		return nil, err
+	}
+	entry, err := newLink(n.address(entryPart, number, callerPort), n.address(instancePart, number, callerPort))
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{program: o.Program, entry: entry, store: store, path: filepath.Join(o.Directory, id+".settings"),
+		log: filepath.Join(o.Directory, id+".log"), settings: &node.Settings{
+			ID: id, FailureDomain: domains[number%len(domains)], FailureDomains: domains, Region: "r", Seeds: seeds,
+			StoreAddress: store.address(), MemoryBytes: memoryBytes, FirstStart: true,
+			Addresses: node.Addresses{Callers: n.address(instancePart, number, callerPort),
+				Resolve:   n.address(instancePart, number, resolvePort),
+				Readiness: n.address(instancePart, number, readinessPort), Peers: n.address(instancePart, number, peerPort)},
+			Bounds: node.Bounds{Stop: stopLimit, ResolveValidity: resolveValidity, RetryRatio: retryRatio,
+				RetryWindow: retryWindow, RetryAllowance: retryAllowance, ProbesPerTarget: probesPerTarget}}}
+	return i, i.writeSettings()
+}
+
+func (i *instance) writeSettings() error {
+	if err := os.WriteFile(i.path, platformtest.SettingsText(i.settings), 0o600); err != nil {
+		return errors.Wrapf(err, "write settings of %s", i.settings.ID)
+	}
+	return nil
+}
+
+// start starts the process unless it runs.
+func (i *instance) start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command != nil {
+		return nil
+	}
+	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrapf(err, "open log of %s", i.settings.ID)
+	}
+	command := exec.Command(i.program)
+	command.Env = append(os.Environ(), platformtest.Settings+"="+i.path)
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return errors.Wrapf(err, "start %s", i.settings.ID)
+	}
+	i.command, i.exited, i.asked, i.killed = command, make(chan struct{}), false, false
+	go i.await(command, log, i.exited)
+	return nil
+}
+
+// await notes the end of the process.
+func (i *instance) await(command *exec.Cmd, log *os.File, exited chan struct{}) {
+	err := command.Wait()
+	_ = log.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case !i.asked:
+		i.faults = append(i.faults, fmt.Sprintf("%s ended by itself: %v", i.settings.ID, err))
+	case !i.killed && err != nil:
+		i.faults = append(i.faults, fmt.Sprintf("%s ended with an error after SIGTERM: %v", i.settings.ID, err))
+	}
+	i.command = nil
+	close(exited)
+}
+
+// signal sends a signal to the process, if it runs.
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command == nil {
+		return
+	}
+	i.asked = i.asked || s == syscall.SIGTERM || s == syscall.SIGKILL
+	i.killed = i.killed || s == syscall.SIGKILL
+	_ = i.command.Process.Signal(s) // fails only when the process has ended
+}
+
+// stop ends the process as the platform does, SIGTERM and SIGKILL after the
+// limit, and reports whether it ended by itself.
+func (i *instance) stop() bool {
+	i.signal(syscall.SIGTERM)
+	return i.ended(stopLimit)
+}
+
+// ended waits for the end of the process, and kills it after a time.
+func (i *instance) ended(limit time.Duration) bool {
+	i.mu.Lock()
+	exited, running := i.exited, i.command != nil
+	i.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+	}
+	i.signal(syscall.SIGCONT)
+	i.signal(syscall.SIGKILL)
+	<-exited
+	return false
+}
+
+func (i *instance) close() {
+	i.entry.close()
+	i.store.close()
+}
--- /dev/null
+++ b/internal/soak/link_test.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echo returns the address of a server that sends back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn); _ = conn.Close() }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a link that does not do what its state says: a soak with such
+// links would test nothing.
+func TestLink(t *testing.T) {
+	is := is.New(t)
+	l, err := newLink("127.0.0.1:0", echo(t))
+	is.NoErr(err)
+	defer l.close()
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", l.address())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	passes := func(conn net.Conn, limit time.Duration) error {
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(limit)))
+		if _, err := io.WriteString(conn, "x"); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	conn := open()
+	is.NoErr(passes(conn, time.Minute))
+	for _, silent := range []linkState{{silentUp: true}, {silentDown: true}} {
+		c := open()
+		is.NoErr(passes(c, time.Minute))
+		l.set(silent)
+		err := passes(c, 50*time.Millisecond)
+		timeout, ok := err.(net.Error)
+		is.True(ok && timeout.Timeout()) // no answer, and no end of the connection
+		l.set(linkState{})
+		is.True(passes(c, time.Minute) != nil) // what was lost is not made up for
+	}
+	l.set(linkState{refuse: true})
+	is.True(passes(open(), time.Minute) != nil)
+	l.set(linkState{})
+	l.reset()
+	is.True(passes(conn, time.Minute) != nil)
+	is.NoErr(passes(open(), time.Minute))
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/platform"
+)
+
+const (
+	// settleLimit only ends a run whose instances never serve again.
+	settleLimit = 30 * time.Second
+	// extraRoute is added and removed during a run.
+	extraRoute = "extra"
+)
+
+// Result is what a run showed.
+type Result struct {
+	Seed uint64
+	// Requests, Served and Runs count what callers sent, what was answered with
+	// success, and the arrivals at targets.
+	Requests, Served, Runs int
+	// Events counts the events by kind.
+	Events map[string]int
+	// Broken lists the promises that were broken, each with its first cases.
+	Broken []string
+}
+
+// Run plays one seed. The processes that it starts have ended when it returns.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if err := os.MkdirAll(o.Directory, 0o700); err != nil {
+		return nil, errors.Wrap(err, "make the directory of the run")
+	}
+	f, err := newFleet(o)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the fleet")
+	}
+	defer f.close()
+	for _, i := range f.instances {
+		f.start(i)
+	}
+	broken := f.unsettled(ctx, "at the start")
+	for _, i := range f.instances {
+		i.settings.FirstStart = false
+		if err := i.writeSettings(); err != nil {
+			return nil, err
+		}
+	}
+	stopCallers := f.startCallers(ctx)
+	f.play(ctx, schedule(o))
+	for _, i := range f.instances {
+		f.start(i)
+	}
+	broken = append(broken, f.unsettled(ctx, "after the faults")...)
+	broken = append(broken, f.converge(ctx)...)
+	stopCallers()
+	var stops sync.WaitGroup
+	for _, i := range f.instances {
+		stops.Go(func() { i.stop() })
+	}
+	stops.Wait()
+	return f.result(broken), ctx.Err()
+}
+
+func (f *fleet) unsettled(ctx context.Context, when string) (broken []string) {
+	for _, id := range f.settle(ctx, settleLimit) {
+		broken = append(broken, fmt.Sprintf("every instance serves %s: %s does not", when, id))
+	}
+	return broken
+}
+
+// startCallers returns a function that ends the callers and waits for them.
+func (f *fleet) startCallers(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	for number := range f.options.Callers {
+		c := f.newCaller(number)
+		all.Go(func() { c.run(ctx) })
+	}
+	return func() { cancel(); all.Wait() }
+}
+
+func (f *fleet) newCaller(number int) *caller {
+	return &caller{number: number, fleet: f, ledger: f.ledger, dialect: platform.Dialect(), client: f.client,
+		random: rand.New(rand.NewPCG(f.options.Seed, uint64(1000+number)))}
+}
+
+// converge asks each instance until it serves both routes and knows the newest
+// configuration, or a time is over.
+func (f *fleet) converge(ctx context.Context) (broken []string) {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	want := http.StatusNotFound
+	if len(f.config.Routes) > len(routes) {
+		want = http.StatusOK
+	}
+	for number, i := range f.instances {
+		c := f.newCaller(f.options.Callers + number)
+		for _, check := range []struct {
+			route string
+			want  int
+		}{{routes[0].name, http.StatusOK}, {routes[1].name, http.StatusOK}, {extraRoute, want}} {
+			got := 0
+			for got != check.want && ctx.Err() == nil {
+				got = c.askAt(ctx, i, check.route)
+			}
+			if got != check.want {
+				broken = append(broken, fmt.Sprintf("every instance takes over the newest configuration: %s answers %d on route %s, not %d",
+					i.settings.ID, got, check.route, check.want))
+			}
+		}
+		c.drop()
+	}
+	return broken
+}
+
+func (f *fleet) result(broken []string) *Result {
+	for _, i := range f.instances {
+		i.mu.Lock()
+		broken = append(broken, i.faults...)
+		i.mu.Unlock()
+	}
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	b := f.ledger.book()
+	r := &Result{Seed: f.options.Seed, Requests: len(b.sends), Runs: len(b.ledger.runs), Events: make(map[string]int)}
+	for _, s := range b.sends {
+		if s.status == http.StatusOK {
+			r.Served++
+		}
+	}
+	for _, d := range b.disturbances {
+		r.Events[d.what]++
+	}
+	for _, p := range promises {
+		if p.timed && !f.options.Timed {
+			continue
+		}
+		if cases := p.check(b); len(cases) > 0 {
+			broken = append(broken, fmt.Sprintf("%s: %d cases, first %s", p.name, len(cases), cases[0]))
+		}
+	}
+	if r.Served == 0 {
+		broken = append(broken, "requests are served: none was")
+	}
+	r.Broken = broken
+	return r
+}
