Protect links between instances and the administration API by mutual TLS

Cause: anyone who reached the peer port could feed an instance targets, and the administration API answered everyone. Certificates, key and authority come from files (settings "security", flags of the edge instance and of the operators' command) and are read again on SIGHUP. Without files links stay plain, as the users' deployment gives no keys. All instances share one name, since their addresses change.

Ruled out: verification by the tls package on the connecting end; it holds on to one authority, so a reload would need new clients.

--- a/admin/client.go
+++ b/admin/client.go
@@ -33,7 +33,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Client{options: o, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+	return &Client{options: o, http: &http.Client{Transport: o.transport()}}
 }
 
 // Close frees idle connections.
@@ -72,7 +72,7 @@
 	failed := &InstanceError{Address: address, Path: path}
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	u := url.URL{Scheme: c.options.scheme(), Host: address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		failed.Step, failed.Err = StepBuild, err
--- a/admin/clientoptions.go
+++ b/admin/clientoptions.go
@@ -1,6 +1,10 @@
 package admin
 
-import "time"
+import (
+	"crypto/tls"
+	"net/http"
+	"time"
+)
 
 // Defaults of ClientOptions.
 const (
@@ -16,9 +20,22 @@
 	Timeout time.Duration
 	// Concurrency bounds the instances asked at the same time. Default 16.
 	Concurrency int
+	// TLS, if set, is used to connect. Default: plain HTTP.
+	TLS *tls.Config
 	// Now is the reader's wall clock. Default time.Now.
 	Now func() time.Time
 	// Answered is called by many goroutines after each instance answered or
 	// failed, when set.
 	Answered func()
 }
+
+func (o *ClientOptions) transport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 1, TLSClientConfig: o.TLS}
+}
+
+func (o *ClientOptions) scheme() string {
+	if o.TLS != nil {
+		return "https"
+	}
+	return "http"
+}
--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -8,9 +8,9 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 const (
@@ -30,12 +30,13 @@
 // clients holds a connection to each peer. The task owns it; the connections
 // themselves are safe for concurrent use.
 type clients struct {
-	port  uint16
-	conns map[netip.Addr]*grpc.ClientConn
+	port     uint16
+	identity *secure.Identity
+	conns    map[netip.Addr]*grpc.ClientConn
 }
 
-func newClients(port uint16) *clients {
-	return &clients{port: port, conns: make(map[netip.Addr]*grpc.ClientConn)}
+func newClients(port uint16, identity *secure.Identity) *clients {
+	return &clients{port: port, identity: identity, conns: make(map[netip.Addr]*grpc.ClientConn)}
 }
 
 // get returns the connection to a peer, which connects when it is first used.
@@ -46,7 +47,7 @@
 	params := grpc.ConnectParams{MinConnectTimeout: exchangeTimeout,
 		Backoff: backoff.Config{BaseDelay: connectBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: 5 * connectBackoff}}
 	conn, err := grpc.NewClient("passthrough:///"+netip.AddrPortFrom(ip, c.port).String(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithConnectParams(params), grpc.WithNoProxy(),
+		c.identity.Dial(), grpc.WithConnectParams(params), grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -18,6 +18,8 @@
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 	"github.com/dogwoodroute/dogwoodroute/records"
+	"github.com/dogwoodroute/dogwoodroute/secure"
+	"github.com/dogwoodroute/dogwoodroute/secure/securetest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -152,6 +154,8 @@
 	domains []string
 	seeds   []netip.Addr
 	running map[netip.Addr]*instance
+	// identity protects the links of instances that start from now on.
+	identity *secure.Identity
 }
 
 type instance struct {
@@ -194,7 +198,7 @@
 	begin := time.Now()
 	i := &instance{ended: make(chan struct{})}
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
-		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Source: &source{store: c.store, name: ip.String()},
+		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
 		Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
@@ -348,3 +352,29 @@
 	c.store.change(records.Record{Key: "large", Value: []byte(strings.Repeat("abcdefgh", 100_000))})
 	c.await("the large record", func(i *instance) bool { return len(i.View().Targets["s"]) == 1 })
 }
+
+// Guards against protected links over which instances do not find each other,
+// and against an instance without the fleet's certificate that they listen to.
+func TestProtectedLinks(t *testing.T) {
+	is := is.New(t)
+	load := func() *secure.Identity {
+		identity, err := secure.Load(securetest.New(t).Write(t, t.TempDir(), secure.ServerName))
+		is.NoErr(err)
+		return identity
+	}
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	c.identity = load()
+	c.startAll(3)
+	c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+	for _, identity := range []*secure.Identity{nil, load()} {
+		c.identity = identity
+		stranger := c.start(0, 9)
+		for stranger.View().Config == nil { // it reads the store by itself, after it has asked its seeds
+			time.Sleep(5 * time.Millisecond)
+		}
+		is.Equal(len(stranger.Snapshot().Live), 1)
+		c.stop(address(0, 9))
+		c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+	}
+}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // Options configure a Task. All fields without a default are required.
@@ -23,6 +25,8 @@
 	FirstStart bool
 	// Seeds are addresses of instances that may run. They may be stale.
 	Seeds []netip.Addr
+	// Identity protects the links to peers. Nil: plain links.
+	Identity *secure.Identity
 	Source
 	Decoder
 	Log *slog.Logger
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -62,7 +62,7 @@
 // New returns a task that Run starts.
 func New(o Options) *Task {
 	t := &Task{options: o, loop: owner.New(o.Now), set: records.NewSet(), builder: catalog.NewBuilder(),
-		clients: newClients(o.Port), busy: make(map[netip.Addr]bool), again: make(map[netip.Addr]bool)}
+		clients: newClients(o.Port, o.Identity), busy: make(map[netip.Addr]bool), again: make(map[netip.Addr]bool)}
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
 	t.view.Store(t.builder.Build(0, 0))
 	t.snapshot.Store(&Snapshot{Size: 1})
@@ -103,7 +103,7 @@
 	if t.options.FirstStart {
 		t.readFrom = t.started + firstStartDelay
 	}
-	server := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+	server := grpc.NewServer(t.options.Identity.Serve(), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.ConnectionTimeout(exchangeTimeout))
 	peerapi.RegisterFleetServer(server, &service{task: t})
 	failed := make(chan error, 1)
--- a/instance.go
+++ b/instance.go
@@ -16,6 +16,7 @@
 	"github.com/dogwoodroute/dogwoodroute/metrics"
 	"github.com/dogwoodroute/dogwoodroute/once"
 	"github.com/dogwoodroute/dogwoodroute/poison"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 	"github.com/dogwoodroute/dogwoodroute/settings"
 	"github.com/dogwoodroute/dogwoodroute/timeline"
 	"github.com/dogwoodroute/dogwoodroute/transport"
@@ -52,6 +53,7 @@
 	incarnation membership.Incarnation
 	listeners   *Listeners
 	reachable   func(peer string) bool
+	identity    *secure.Identity
 
 	transport *transport.Client
 	metrics   *metrics.Metrics
@@ -89,6 +91,9 @@
 		incarnation: membership.NewIncarnation(start), reachable: o.Reachable, listeners: o.Listeners,
 		stop: make(chan struct{}), stopNow: make(chan struct{})}
 	var err error
+	if i.identity, err = secure.Load(o.Settings.Security); err != nil {
+		return nil, errors.Wrap(err, "security")
+	}
 	if i.metrics, err = metrics.New(o.Settings.ID); err != nil {
 		return nil, err
 	}
@@ -104,6 +109,20 @@
 	return i, nil
 }
 
+// ReloadCertificates reads the files of the security settings again. After an
+// error the former certificates stay.
+func (i *Instance) ReloadCertificates() {
+	if i.identity == nil {
+		i.log.Info("no certificates to reload")
+		return
+	}
+	if err := i.identity.Reload(); err != nil {
+		i.log.Warn("certificates not reloaded, the former ones stay", "error", err.Error())
+		return
+	}
+	i.log.Info("certificates reloaded")
+}
+
 // now returns the time since the instance's start on the monotonic clock.
 func (i *Instance) now() time.Duration { return time.Since(i.start) }
 
--- a/internal/cli/address.go
+++ b/internal/cli/address.go
@@ -9,6 +9,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/admin"
 	"github.com/dogwoodroute/dogwoodroute/configservice"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // addressFlags say which instances to ask.
@@ -16,19 +17,31 @@
 	admin        []string
 	instancesURL string
 	timeout      time.Duration
+	security     secure.Files
 }
 
 func (f *addressFlags) add(command *cobra.Command) {
 	command.Flags().StringSliceVar(&f.admin, "admin", nil, "administration addresses to ask (IP:PORT,...)")
 	command.Flags().StringVar(&f.instancesURL, "instances-url", "", "URL of the platform's list of instances; asks every instance in it")
+	addSecurityFlags(command, &f.security)
 	command.Flags().DurationVar(&f.timeout, "timeout", admin.DefaultTimeout, "longest time to wait for one instance")
 }
 
+// addSecurityFlags adds the flags of a fleet whose links are protected.
+func addSecurityFlags(command *cobra.Command, f *secure.Files) {
+	command.Flags().StringVar(&f.Certificate, "certificate", "", "certificate of this end, PEM; none: links are not protected")
+	command.Flags().StringVar(&f.Key, "key", "", "private key of the certificate, PEM")
+	command.Flags().StringVar(&f.Authority, "authority", "", "certificates that sign those of the instances, PEM")
+}
+
 // check refuses flags that name no instance or contradict each other.
 func (f *addressFlags) check() error {
 	if (len(f.admin) > 0) == (f.instancesURL != "") {
 		return usageError{errors.New("give either --admin or --instances-url")}
 	}
+	if err := f.security.Check(); err != nil {
+		return usageError{err}
+	}
 	if f.timeout <= 0 {
 		return usageError{errors.New("--timeout must be above 0")}
 	}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -49,6 +49,10 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go stopOn(signals, ended, instance)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	go reloadOn(reloads, ended, instance)
 	return instance.Run(command.Context())
 }
 
@@ -69,3 +73,17 @@
 		}
 	}
 }
+
+// reloader is the part of an instance that SIGHUP acts on.
+type reloader interface{ ReloadCertificates() }
+
+func reloadOn(signals <-chan os.Signal, ended <-chan struct{}, instance reloader) {
+	for {
+		select {
+		case <-signals:
+			instance.ReloadCertificates()
+		case <-ended:
+			return
+		}
+	}
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,12 +1,14 @@
 package cli
 
 import (
+	"crypto/tls"
 	"fmt"
 	"sync/atomic"
 
 	"github.com/spf13/cobra"
 
 	"github.com/dogwoodroute/dogwoodroute/admin"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // askFleet resolves the instances and calls ask with a client of all of them.
@@ -28,8 +30,16 @@
 	if err != nil {
 		return nil, err
 	}
+	identity, err := secure.Load(flags.security)
+	if err != nil {
+		return nil, err
+	}
+	var protection *tls.Config
+	if identity != nil {
+		protection = identity.Client()
+	}
 	total.Store(int64(len(addresses)))
-	client := admin.NewClient(admin.ClientOptions{Addresses: addresses, Timeout: flags.timeout,
+	client := admin.NewClient(admin.ClientOptions{Addresses: addresses, Timeout: flags.timeout, TLS: protection,
 		Answered: func() { answered.Add(1) }})
 	defer client.Close()
 	ask(client)
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodroute/dogwoodroute/eventlog"
 	"github.com/dogwoodroute/dogwoodroute/node"
 	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // settingsPoll is how often the settings file is looked at: it may change
@@ -22,7 +23,7 @@
 
 // New returns the command line.
 func New() *cobra.Command {
-	var metricsPort int
+	var flags flags
 	command := &cobra.Command{
 		Use:   "dogwoodroute-edge",
 		Short: "Run one entry instance on a platform with a read-only store",
@@ -31,13 +32,22 @@
 		Args:          cobra.NoArgs,
 		SilenceErrors: true,
 		SilenceUsage:  true,
-		RunE:          func(command *cobra.Command, _ []string) error { return run(command.Context(), metricsPort) },
+		RunE:          func(command *cobra.Command, _ []string) error { return flags.run(command.Context()) },
 	}
-	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port that serves metrics on the caller address; 0: none")
+	command.Flags().IntVar(&flags.metricsPort, "metrics-port", 0, "port that serves metrics on the caller address; 0: none")
+	command.Flags().StringVar(&flags.security.Certificate, "certificate", "", "certificate for links to other instances, PEM; none: links are not protected")
+	command.Flags().StringVar(&flags.security.Key, "key", "", "private key of the certificate, PEM")
+	command.Flags().StringVar(&flags.security.Authority, "authority", "", "certificates that sign those of the instances, PEM")
 	return command
 }
 
-func run(ctx context.Context, metricsPort int) error {
+// flags are those of the command.
+type flags struct {
+	metricsPort int
+	security    secure.Files
+}
+
+func (f *flags) run(ctx context.Context) error {
 	log := eventlog.New(os.Stdout)
 	defer log.Close()
 	logger := log.Logger(slog.LevelInfo)
@@ -49,9 +59,13 @@
 	if err != nil {
 		return err
 	}
+	identity, err := secure.Load(f.security)
+	if err != nil {
+		return errors.Wrap(err, "links between instances")
+	}
 	n, err := node.New(node.Options{Settings: settings, Source: platform.NewStore(settings.StoreAddress),
 		Decoder: platform.Decoder{}, Dialect: platform.Dialect(), ResolveHandler: platform.ResolveHandler,
-		ReadyHandler: platform.ReadyHandler, MetricsPort: metricsPort, Log: logger})
+		ReadyHandler: platform.ReadyHandler, Identity: identity, MetricsPort: f.metricsPort, Log: logger})
 	if err != nil {
 		return errors.Wrap(err, "open instance")
 	}
@@ -60,6 +74,6 @@
 	defer signal.Stop(signals)
 	ended := make(chan struct{})
 	defer close(ended)
-	go (&supervisor{node: n, path: path, log: logger}).watch(signals, ended)
+	go (&supervisor{node: n, path: path, identity: identity, log: logger}).watch(signals, ended)
 	return n.Run(ctx)
 }
--- a/internal/edgecli/supervisor.go
+++ b/internal/edgecli/supervisor.go
@@ -9,14 +9,17 @@
 
 	"github.com/dogwoodroute/dogwoodroute/node"
 	"github.com/dogwoodroute/dogwoodroute/platform"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // supervisor passes signals and changed settings to a node.
 type supervisor struct {
 	node *node.Node
 	path string
-	log  *slog.Logger
-	last []byte // the settings file as last read
+	// identity is nil when links between instances are not protected.
+	identity *secure.Identity
+	log      *slog.Logger
+	last     []byte // the settings file as last read
 }
 
 func (s *supervisor) watch(signals <-chan os.Signal, ended <-chan struct{}) {
@@ -28,6 +31,7 @@
 		case received := <-signals:
 			if received == syscall.SIGHUP {
 				s.reload("signal")
+				s.reloadCertificates()
 			} else {
 				s.node.Stop()
 			}
@@ -56,3 +60,15 @@
 	}
 	s.node.Reload(settings)
 }
+
+// reloadCertificates keeps the former certificates when the files cannot be used.
+func (s *supervisor) reloadCertificates() {
+	if s.identity == nil {
+		return
+	}
+	if err := s.identity.Reload(); err != nil {
+		s.log.Warn("certificates not reloaded, the former ones stay", "error", err.Error())
+		return
+	}
+	s.log.Info("certificates reloaded")
+}
--- a/internal/testbed/instance.go
+++ b/internal/testbed/instance.go
@@ -74,7 +74,7 @@
 		PeerAddress: entry.PeerAddress, AdminAddress: entry.AdminAddress,
 		ConfigurationURL: f.platform[0].URL + "/" + entry.ID, InstancesURL: f.platform[1].URL,
 		ResolveValidityMillis: f.options.ResolveValidity.Milliseconds(),
-		ShutdownLimitMillis:   f.options.ShutdownLimit.Milliseconds()}
+		ShutdownLimitMillis:   f.options.ShutdownLimit.Milliseconds(), Security: f.options.Security}
 	text, err := json.Marshal(&s)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode settings")
--- a/internal/testbed/options.go
+++ b/internal/testbed/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/internal/standin"
 	"github.com/dogwoodroute/dogwoodroute/poison"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 	"github.com/dogwoodroute/dogwoodroute/tables"
 )
 
@@ -26,6 +27,8 @@
 	ShutdownLimit time.Duration
 	// Poison configures the detection of requests that crash targets.
 	Poison poison.Options
+	// Security protects links between instances. Default: plain links.
+	Security secure.Files
 	// Log receives the instances' log lines. Default none.
 	Log *slog.Logger
 }
--- a/membership/clients.go
+++ b/membership/clients.go
@@ -10,10 +10,10 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // maxAnswerBytes holds a document of 1 MB or a recorded response of 8 MB.
@@ -38,14 +38,15 @@
 type clients struct {
 	reachable func(string) bool
 	traffic   *traffic
+	identity  *secure.Identity
 
 	mu          sync.Mutex
 	closed      bool
 	connections map[string]*grpc.ClientConn
 }
 
-func newClients(reachable func(string) bool, t *traffic) *clients {
-	return &clients{reachable: reachable, traffic: t, connections: make(map[string]*grpc.ClientConn)}
+func newClients(reachable func(string) bool, t *traffic, identity *secure.Identity) *clients {
+	return &clients{reachable: reachable, traffic: t, identity: identity, connections: make(map[string]*grpc.ClientConn)}
 }
 
 // call makes one call to a peer.
@@ -80,7 +81,7 @@
 		return connection, nil
 	}
 	connection, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(c.dial),
+		c.identity.Dial(), grpc.WithContextDialer(c.dial),
 		grpc.WithStatsHandler(c.traffic), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswerBytes)),
--- a/membership/task.go
+++ b/membership/task.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/configservice"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // eventBuffer is the number of events that may wait for the task.
@@ -20,6 +21,8 @@
 	Self Peer
 	// Listener accepts the peers' connections. Required. Run closes it.
 	Listener net.Listener
+	// Identity protects the links to peers. Default: plain links.
+	Identity *secure.Identity
 	// List is the platform's list of instances. Default none.
 	List configservice.Source
 	// Changed is called by the task after a change of the fleet, of the draining
@@ -81,7 +84,7 @@
 	t := &Task{options: o, events: make(chan func(time.Duration), eventBuffer), done: make(chan struct{}),
 		listRead: make(chan struct{}), traffic: new(traffic)}
 	t.members = NewMembers(MembersOptions{Self: o.Self, Rand: o.Rand, Interval: o.Interval, Load: o.Load})
-	t.clients = newClients(o.Reachable, t.traffic)
+	t.clients = newClients(o.Reachable, t.traffic, o.Identity)
 	t.view.Store(t.members.View(o.Now()))
 	if o.List != nil {
 		t.list = configservice.NewFollower(configservice.FollowerOptions{Source: o.List, Deliver: t.deliver})
--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,7 @@
 	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port(), validity: min(resolveValidity, s.Bounds.ResolveValidity)}
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
-		Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: now, OnView: n.viewChanged})
+		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: now, OnView: n.viewChanged})
 	return nil
 }
 
--- a/peers.go
+++ b/peers.go
@@ -27,7 +27,7 @@
 	i.members = membership.NewTask(membership.Options{
 		Self: membership.Peer{ID: s.ID, Incarnation: i.incarnation, FailureDomain: s.FailureDomain,
 			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, AdminAddress: s.AdminAddress},
-		Listener: listener, List: instances, Now: i.now, Reachable: i.reachable,
+		Listener: listener, Identity: i.identity, List: instances, Now: i.now, Reachable: i.reachable,
 		Load:    func() int { return int(i.InFlight()) },
 		Changed: i.fleetChanged,
 		Seen:    func(peer string, version uint64, digest string) { i.syncer.Seen(peer, version, digest) },
--- /dev/null
+++ b/secure/files.go
@@ -0,0 +1,27 @@
+package secure
+
+import "github.com/go-faster/errors"
+
+// Files are paths of PEM files. All empty: links are neither authenticated nor
+// encrypted.
+type Files struct {
+	// Certificate is this end's certificate, followed by intermediate ones. It is
+	// for the name ServerName and for both uses, server and client. Default: none.
+	Certificate string `json:"certificate_file,omitempty"`
+	// Key is the private key of Certificate. Default: none.
+	Key string `json:"key_file,omitempty"`
+	// Authority holds the certificates that sign those of the other ends. During
+	// a change of the authority it holds the old and the new one. Default: none.
+	Authority string `json:"authority_file,omitempty"`
+}
+
+// Empty reports whether no file is given.
+func (f Files) Empty() bool { return f == Files{} }
+
+// Check reports files that are missing while others are given.
+func (f Files) Check() error {
+	if !f.Empty() && (f.Certificate == "" || f.Key == "" || f.Authority == "") {
+		return errors.New("certificate, key and authority are needed together")
+	}
+	return nil
+}
--- /dev/null
+++ b/secure_test.go
@@ -0,0 +1,42 @@
+package dogwoodroute_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/admin"
+	"github.com/dogwoodroute/dogwoodroute/internal/testbed"
+	"github.com/dogwoodroute/dogwoodroute/secure"
+	"github.com/dogwoodroute/dogwoodroute/secure/securetest"
+)
+
+// Guards against instances that do not find each other over protected links, and
+// against an administration API that answers anyone although keys are given.
+func TestProtectedFleet(t *testing.T) {
+	is := is.New(t)
+	files := securetest.New(t).Write(t, t.TempDir(), secure.ServerName)
+	fleet, err := testbed.Start(testbed.Options{Instances: 3, Security: files})
+	is.NoErr(err)
+	t.Cleanup(fleet.Close)
+	is.NoErr(fleet.Ready(testTimeout)) // each knows all others
+
+	status := fleet.Instances()[0].Status()
+	is.Equal(status.Fleet.Live, 3)
+	identity, err := secure.Load(files)
+	is.NoErr(err)
+	ask := func(o admin.ClientOptions) error {
+		o.Addresses, o.Timeout = []string{fleet.Instances()[0].AdminAddress()}, testTimeout
+		client := admin.NewClient(o)
+		defer client.Close()
+		if err := client.Status(t.Context())[0].Err; err != nil {
+			return err
+		}
+		return nil
+	}
+	is.NoErr(ask(admin.ClientOptions{TLS: identity.Client()}))
+	is.True(ask(admin.ClientOptions{}) != nil)
+	stranger, err := secure.Load(securetest.New(t).Write(t, t.TempDir(), secure.ServerName))
+	is.NoErr(err)
+	is.True(ask(admin.ClientOptions{TLS: stranger.Client()}) != nil)
+}
--- a/serve.go
+++ b/serve.go
@@ -124,7 +124,12 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorTimeout, IdleTimeout: time.Minute}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	serve := server.Serve
+	if i.identity != nil {
+		server.TLSConfig = i.identity.Server()
+		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") } // the certificates are in TLSConfig
+	}
+	if err := serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve operators")
 	}
 	return nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/internal/jsonc"
+	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
 // Settings configure one instance. They hold what the instance cannot learn
@@ -40,6 +41,9 @@
 	// ShutdownLimitMillis bounds a planned stop, in milliseconds. Requests still
 	// in flight are then cut and counted. Default 60000, from 1000 to 3600000.
 	ShutdownLimitMillis int64 `json:"shutdown_limit_ms"`
+	// Security protects the links between instances and the administration API.
+	// Default: neither is protected. All instances of a fleet have the same setting.
+	Security secure.Files `json:"security"`
 	// LogLevel is "debug", "info" (default), "warn" or "error".
 	LogLevel string `json:"log_level"`
 }
@@ -131,6 +135,9 @@
 	default:
 		c.failf("log_level", "log level %q must be debug, info, warn or error", s.LogLevel)
 	}
+	if err := s.Security.Check(); err != nil {
+		c.failf("security", "%v", err)
+	}
 	c.between("limits.header_bytes", int64(s.Limits.HeaderBytes), 1024, 1<<20)
 	c.between("limits.request_body_bytes", s.Limits.RequestBodyBytes, 1024, 64<<20)
 	c.between("limits.header_timeout_ms", s.Limits.HeaderTimeoutMillis, 10, 600000)
