Find out who is alive by failed exchanges, and spread changes through a tree

Cause: every exchange passed on the ten latest heartbeats and a member counted as gone after 1.6 s without one.

Now two failed exchanges make a member down, the statement is passed on as a change and the member can refute it; a change goes through a tree in which each instance is told once. A new reader proves at once that the store answers it.

TestLargeFleetAgreesWhoIsAlive and TestRestartEndsAnAccusation need no network.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -16,6 +16,7 @@
 	config  *Config
 	matcher *Matcher
 	targets map[string]*entry
+	lapsed  int // entries that lapsed and are kept
 }
 
 type entry struct {
@@ -41,12 +42,13 @@
 // A report that is older than the one known is ignored.
 func (b *Builder) SetTarget(key string, t *Target) {
 	if t == nil {
-		delete(b.targets, key)
+		b.drop(key)
 		return
 	}
 	if e := b.targets[key]; e != nil && t.olderThan(e.target) {
 		return
 	}
+	b.drop(key)
 	b.targets[key] = &entry{target: t}
 }
 
@@ -57,19 +59,30 @@
 	if e != nil && lapsed && !e.target.Draining {
 		if e.until == 0 {
 			e.until = now + LapseGrace
+			b.lapsed++
 		}
 		return
 	}
+	b.drop(key)
+}
+
+func (b *Builder) drop(key string) {
+	if e := b.targets[key]; e != nil && e.until > 0 {
+		b.lapsed--
+	}
 	delete(b.targets, key)
 }
 
 // Expire drops lapsed entries whose time has passed and reports whether there
 // were any.
 func (b *Builder) Expire(now time.Duration) bool {
+	if b.lapsed == 0 {
+		return false
+	}
 	before := len(b.targets)
 	for key, e := range b.targets {
 		if e.until > 0 && now >= e.until {
-			delete(b.targets, key)
+			b.drop(key)
 		}
 	}
 	return len(b.targets) != before
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/records"
@@ -16,19 +17,19 @@
 const (
 	// exchangeInterval is the time between exchanges that an instance starts.
 	exchangeInterval = 250 * time.Millisecond
-	// fanout bounds the peers of the own failure domain that are told of a change
-	// at once by the first instance that knows it there. In larger domains, those
-	// tell relayFanout others each.
-	fanout      = 24
-	relayFanout = 3
-	// remoteFanout is how many peers of each other failure domain the instance
-	// that read a change tells; they tell the rest of their domain, so that most
-	// bytes stay within domains.
-	remoteFanout = 2
+	// treeHeads is how many peers an instance tells of a change at once. Each of
+	// them tells its part of the others in turn, so every instance hears of a
+	// change once, and nobody has much to send.
+	treeHeads = 6
+	// remoteHeads is the same for each other failure domain, which bounds the bytes
+	// between domains.
+	remoteHeads = 1
+	// maxSearched bounds the peers that are searched at once.
+	maxSearched = 24
+	// seedRetry is the time between attempts to reach a seed while nothing is known.
+	seedRetry = 25 * time.Millisecond
 	// spreadDelay gathers changes that arrive together into one message.
 	spreadDelay = 30 * time.Millisecond
-	// passedOn bounds the members that one exchange tells of.
-	passedOn = 10
 	// nearPartners and farPartners bound the peers of the own and of the other
 	// failure domains with which an instance exchanges state regularly. Every
 	// connection costs memory; news still crosses the fleet in a number of rounds
@@ -58,7 +59,7 @@
 	if t.round%farEvery == 0 && len(far) > 0 || len(near) == 0 {
 		list = t.partners(far, farPartners)
 	}
-	t.contact(now, list[rand.IntN(len(list))].IP)
+	t.contact(now, list[rand.IntN(len(list))].IP, nil, 0)
 }
 
 // partners returns the peers of a list with which this instance exchanges state
@@ -95,7 +96,7 @@
 func (t *Task) search(now time.Duration, all bool) {
 	var unknown []netip.Addr
 	for _, seed := range t.options.Seeds {
-		if p := t.roster.peers[seed]; seed != t.options.IP && (p == nil || !p.live(now)) {
+		if p := t.roster.peers[seed]; seed != t.options.IP && (p == nil || !t.roster.live(now, p)) {
 			unknown = append(unknown, seed)
 		}
 	}
@@ -106,12 +107,12 @@
 		return
 	}
 	if all {
-		for _, ip := range unknown[:min(len(unknown), fanout)] {
-			t.contact(now, ip)
+		for _, ip := range unknown[:min(len(unknown), maxSearched)] {
+			t.contact(now, ip, nil, 0)
 		}
 		return
 	}
-	t.contact(now, unknown[rand.IntN(len(unknown))])
+	t.contact(now, unknown[rand.IntN(len(unknown))], nil, 0)
 }
 
 // reach is how far a change is told.
@@ -119,9 +120,9 @@
 
 // Reaches, from the least.
 const (
-	relayed  reach = iota // a few of the own failure domain
-	inDomain              // the own failure domain
-	inFleet               // also a few instances of each other domain
+	aFew     reach = iota + 1 // some instances, which pass it on with their exchanges
+	inDomain                  // the own failure domain
+	inFleet                   // all failure domains
 )
 
 // spread tells peers of a change soon.
@@ -136,38 +137,70 @@
 
 func (t *Task) spreadNow(now time.Duration) {
 	reach := t.reach
-	t.spreading, t.reach = false, relayed
-	near, far := t.byDomain(t.roster.livePeers(now))
-	limit := fanout
-	if reach == relayed {
-		limit = relayFanout
-		if len(near) < fanout {
-			limit = 0 // the one that knew first has told all
+	t.spreading, t.reach = false, 0
+	if reach == aFew {
+		t.announce(now)
+		return
+	}
+	for domain, list := range t.liveByDomain(now) {
+		switch {
+		case domain == t.options.Domain:
+			t.tell(now, list, treeHeads, t.told)
+		case reach == inFleet:
+			t.tell(now, list, remoteHeads, t.told)
 		}
 	}
-	t.tell(now, near, limit)
-	if reach == inFleet {
-		t.tell(now, far, remoteFanout)
+	t.told = t.set.Revision()
+}
+
+// liveByDomain returns the live peers of each failure domain in this instance's
+// own order, so that it keeps to the same connections.
+func (t *Task) liveByDomain(now time.Duration) map[int][]netip.Addr {
+	domains := make(map[int][]netip.Addr)
+	for _, p := range t.roster.livePeers(now) {
+		domains[p.Domain] = append(domains[p.Domain], p.IP)
+	}
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b netip.Addr) int {
+			return cmp.Compare(pairOrder(t.options.IP, a), pairOrder(t.options.IP, b))
+		})
 	}
+	return domains
 }
 
-// tell contacts up to limit peers of each failure domain.
-func (t *Task) tell(now time.Duration, list []*peer, limit int) {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	told := make(map[int]int)
-	for _, p := range list {
-		if told[p.Domain] < limit {
-			told[p.Domain]++
-			t.contact(now, p.IP)
+// announce tells a few peers of each failure domain of a change of this
+// instance. Others hear of it within some exchanges.
+func (t *Task) announce(now time.Duration) {
+	for domain, list := range t.liveByDomain(now) {
+		heads := remoteHeads
+		if domain == t.options.Domain {
+			heads = treeHeads
 		}
+		for _, ip := range list[:min(heads, len(list))] {
+			t.contact(now, ip, nil, 0)
+		}
+	}
+}
+
+// tell contacts some peers of a list, each of which tells its part of the rest.
+// They are likely to know all changes up to a revision.
+func (t *Task) tell(now time.Duration, list []netip.Addr, heads int, after uint64) {
+	heads = min(heads, len(list))
+	for i := range heads {
+		var part []netip.Addr
+		for j := i + heads; j < len(list); j += heads {
+			part = append(part, list[j])
+		}
+		t.contact(now, list[i], part, after)
 	}
 }
 
 // contact starts an exchange with a peer, or notes that another one is due when
-// one is under way.
-func (t *Task) contact(now time.Duration, ip netip.Addr) {
+// one is under way. The peer tells those in relay of the changes after a
+// revision, 0 when there is nobody to tell.
+func (t *Task) contact(now time.Duration, ip netip.Addr, relay []netip.Addr, after uint64) {
 	if t.busy[ip] {
-		t.again[ip] = true
+		t.again[ip] = append(t.again[ip], relay...)
 		return
 	}
 	conn, err := t.clients.get(ip)
@@ -175,42 +208,102 @@
 		t.options.Log.Error("no client for a peer", "peer", ip.String(), "error", err.Error())
 		return
 	}
-	known := uint64(0)
+	known := after
 	if p := t.roster.peers[ip]; p != nil {
-		known = p.revision
+		known = max(known, p.revision)
+	}
+	// A peer that is not told of a change has most likely heard of it; it asks
+	// when its revision is older than this instance's.
+	state := t.state(now, ip, known, after > 0 || len(relay) > 0)
+	for _, other := range relay {
+		state.Relay = append(state.Relay, numberOf(other))
 	}
-	state := t.state(known, known > 0)
 	t.busy[ip] = true
+	t.send(conn, state, func(now time.Duration, answer *peerapi.FleetState, err error) {
+		t.exchanged(now, ip, relay, after, answer, err)
+	})
+}
+
+// send makes an exchange in a goroutine of its own; done runs in the task.
+func (t *Task) send(conn *grpc.ClientConn, state *peerapi.FleetState, done func(time.Duration, *peerapi.FleetState, error)) {
 	go func() {
 		answer, err := exchange(t.context, conn, state)
-		t.loop.Post(func(now time.Duration) { t.exchanged(now, ip, answer, err) })
+		t.loop.Post(func(now time.Duration) { done(now, answer, err) })
 	}()
 }
 
+// spreadUnlessTold spreads a change that the store told, unless the first reader
+// has it too: that one spreads it.
+func (t *Task) spreadUnlessTold(now time.Duration) {
+	first := t.roster.candidates(now)
+	if len(first) == 0 || first[0].self || !first[0].member.State.Has(Reading) {
+		t.spread(inFleet)
+		return
+	}
+	conn, err := t.clients.get(first[0].member.IP)
+	if err != nil {
+		t.options.Log.Error("no client for a peer", "peer", first[0].member.IP.String(), "error", err.Error())
+		t.spread(inFleet)
+		return
+	}
+	revision := t.set.Revision()
+	// The change itself is not sent: the first reader must have it from the store.
+	question := &peerapi.FleetState{Self: memberMessage(t.roster.self), Revision: revision}
+	t.send(conn, question, func(now time.Duration, answer *peerapi.FleetState, err error) {
+		if err == nil {
+			t.merge(now, answer)
+		}
+		if err != nil || answer.GetRevision() < revision {
+			t.spread(inFleet)
+		}
+	})
+}
+
 // exchanged takes the result of an exchange.
-func (t *Task) exchanged(now time.Duration, ip netip.Addr, answer *peerapi.FleetState, err error) {
+func (t *Task) exchanged(now time.Duration, ip netip.Addr, relay []netip.Addr, after uint64, answer *peerapi.FleetState, err error) {
 	delete(t.busy, ip)
-	again := t.again[ip]
+	more, again := t.again[ip]
 	delete(t.again, ip)
 	if err != nil {
-		if p := t.roster.peers[ip]; p != nil && p.failures == 0 && t.context.Err() == nil {
-			t.options.Log.Warn("lost a peer", "peer", ip.String(), "error", err.Error())
-		}
-		t.roster.failed(ip)
-		t.clients.drop(ip)
+		t.unanswered(now, ip, err)
+		t.tell(now, append(relay, more...), treeHeads, after) // the peer tells nobody
 		return
 	}
 	t.merge(now, answer)
 	if again {
-		t.contact(now, ip)
+		t.contact(now, ip, more, after)
+	}
+}
+
+// unanswered notes a failed exchange. A known member is contacted once more at
+// once, on a new connection.
+func (t *Task) unanswered(now time.Duration, ip netip.Addr, err error) {
+	t.clients.drop(ip)
+	failures := t.roster.failed(now, ip)
+	if t.context.Err() != nil {
+		return
+	}
+	if failures == 0 {
+		if t.set.Revision() == 0 && slices.Contains(t.options.Seeds, ip) { // the whole fleet may be starting
+			time.AfterFunc(seedRetry, func() { t.loop.Post(func(now time.Duration) { t.contact(now, ip, nil, 0) }) })
+		}
+		return
+	}
+	if failures == 1 {
+		t.options.Log.Warn("lost a peer", "peer", ip.String(), "error", err.Error())
+	}
+	if failures < downAfter {
+		t.contact(now, ip, nil, 0)
+	} else if failures == downAfter {
+		t.spread(aFew)
 	}
 }
 
 // state returns this instance's state for a peer whose records are complete up
 // to known. Changes are left out when that is not known.
-func (t *Task) state(known uint64, changes bool) *peerapi.FleetState {
+func (t *Task) state(now time.Duration, to netip.Addr, known uint64, changes bool) *peerapi.FleetState {
 	s := &peerapi.FleetState{Self: memberMessage(t.roster.self), Revision: t.set.Revision()}
-	for _, m := range t.roster.latest(passedOn) {
+	for _, m := range t.roster.news(now, to) {
 		s.Members = append(s.Members, memberMessage(m))
 	}
 	if !changes || known >= t.set.Revision() {
@@ -218,24 +311,25 @@
 	}
 	list, ok := t.set.Since(known)
 	if !ok || known == 0 {
-		list, s.Full = t.set.All(), true
+		known, list, s.Full = 0, t.set.All(), true
 	}
-	messages, err := t.packer.messages(list)
-	if err != nil { // the peer asks another one
+	if err := t.packer.put(s, list, known, t.set.Revision()); err != nil { // the peer asks another one
 		t.options.Log.Error("records not sent to a peer", "error", err.Error())
 		s.Full = false
 		return s
 	}
-	s.Changes, s.ChangesAfter, s.HasChanges = messages, known, true
+	s.ChangesAfter, s.HasChanges = known, true
 	return s
 }
 
-// merge takes a peer's state.
-func (t *Task) merge(now time.Duration, s *peerapi.FleetState) {
+// merge takes a peer's state, and reports whether the peer was not known.
+func (t *Task) merge(now time.Duration, s *peerapi.FleetState) (stranger bool) {
 	if s.GetSelf() == nil {
-		return
+		return false
 	}
 	sender := memberOf(s.GetSelf())
+	former := t.roster.peers[sender.IP]
+	stranger = former == nil || former.Incarnation != sender.Incarnation
 	if p := t.roster.peers[sender.IP]; p != nil && p.failures > 0 {
 		t.options.Log.Info("regained a peer", "peer", sender.IP.String())
 	}
@@ -244,10 +338,28 @@
 		p.revision = s.GetRevision()
 	}
 	for _, m := range s.GetMembers() {
-		t.roster.learn(now, memberOf(m), false)
+		if member := memberOf(m); t.roster.learn(now, member, false) && !t.busy[member.IP] {
+			t.contact(now, member.IP, nil, 0)
+		}
+	}
+	if t.roster.accused {
+		t.roster.accused = false
+		t.options.Log.Warn("others say that this instance is down", "said_by", sender.IP.String())
+		t.spread(aFew)
 	}
 	t.mergeRecords(now, s, sender.IP)
-	t.publishSnapshot(now)
+	if relay := addressesOf(s.GetRelay()); len(relay) > 0 {
+		if len(t.owed) == 0 || s.GetChangesAfter() < t.owedAfter {
+			t.owedAfter = s.GetChangesAfter()
+		}
+		t.owed = append(t.owed, relay...)
+	}
+	if len(t.owed) > 0 && t.set.Revision() >= s.GetRevision() {
+		owed := t.owed
+		t.owed = nil
+		t.tell(now, owed, treeHeads, t.owedAfter)
+	}
+	return stranger
 }
 
 func (t *Task) mergeRecords(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
@@ -255,10 +367,10 @@
 		return
 	}
 	if !s.GetHasChanges() || !s.GetFull() && s.GetChangesAfter() > t.set.Revision() {
-		t.contact(now, sender) // its answer holds what is missing
+		t.contact(now, sender, nil, 0) // its answer holds what is missing
 		return
 	}
-	list, err := recordsOf(s.GetChanges())
+	list, err := recordsOf(s)
 	if err != nil {
 		t.options.Log.Warn("records of a peer not readable", "peer", sender.String(), "error", err.Error())
 		return
@@ -269,12 +381,11 @@
 	} else {
 		news = t.set.Apply(list, s.GetRevision())
 	}
-	if len(news) > 0 {
-		t.apply(now, news)
-		if sender := t.roster.peers[sender]; sender != nil && sender.Domain != t.options.Domain {
-			t.spread(inDomain)
-		} else {
-			t.spread(relayed)
-		}
+	if len(news) == 0 {
+		return
+	}
+	t.apply(now, news)
+	if p := t.roster.peers[sender]; len(s.GetRelay()) == 0 && p != nil && p.Domain != t.options.Domain {
+		t.spread(inDomain) // nobody has told this domain, or it was missed
 	}
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -32,6 +32,9 @@
 	Reading
 	// StoreFailed is set while the store does not answer the instance.
 	StoreFailed
+	// Down is what others say of a member that does not answer them. A member
+	// that runs answers with a later heartbeat.
+	Down
 )
 
 // Has reports whether a flag is set.
@@ -60,8 +63,16 @@
 	heard time.Duration
 	// failures counts exchanges that failed since the last one that succeeded.
 	failures int
+	// proven is until when it runs whatever others say: it was in contact.
+	proven time.Duration
+	// ask is when it may be asked again because others reach it.
+	ask time.Duration
 	// revision is the revision that it last reported.
 	revision uint64
+	// place is the member's order, kept since it is a hash.
+	place uint64
+	// told counts how often the last change of this member was passed on.
+	told int
 	// former is the incarnation before the present one.
 	former uint32
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -8,87 +8,123 @@
 	"net/netip"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
 const (
-	// packAbove is the size in bytes from which a value is sent compressed.
-	packAbove = 1 << 10
-	// maxValueBytes bounds an unpacked value; the store holds at most a megabyte.
-	maxValueBytes = 2 << 20
+	// packAbove is the size in bytes from which changes are sent compressed. The
+	// compressor itself takes about 600 KB of memory for a moment.
+	packAbove = 16 << 10
+	// maxPlainBytes bounds unpacked changes: a configuration of at most a megabyte
+	// and the entries of some thousand targets.
+	maxPlainBytes = 8 << 20
 )
 
 func memberMessage(m Member) *peerapi.FleetMember {
-	ip := m.IP.As4()
-	return &peerapi.FleetMember{Ip: binary.BigEndian.Uint32(ip[:]), Incarnation: m.Incarnation,
+	return &peerapi.FleetMember{Ip: numberOf(m.IP), Incarnation: m.Incarnation,
 		Heartbeat: m.Heartbeat, Domain: uint32(m.Domain), Flags: uint32(m.State)}
 }
 
 func memberOf(m *peerapi.FleetMember) Member {
-	var ip [4]byte
-	binary.BigEndian.PutUint32(ip[:], m.GetIp())
-	return Member{IP: netip.AddrFrom4(ip), Incarnation: m.GetIncarnation(), Heartbeat: m.GetHeartbeat(),
+	return Member{IP: addressOf(m.GetIp()), Incarnation: m.GetIncarnation(), Heartbeat: m.GetHeartbeat(),
 		Domain: int(m.GetDomain()), State: MemberState(m.GetFlags())}
 }
 
-// packer keeps the compressed form of large values, so that a value that goes
-// to many peers is compressed once.
+// packer turns records into messages. It keeps the compressed forms of one
+// revision, so that changes that go to many peers are compressed once.
 type packer struct {
-	key    string
-	of     uint64 // revision
-	packed []byte
+	revision uint64
+	packed   map[uint64][]byte // by the revision from which the changes are
 }
 
-func (p *packer) messages(list []records.Record) ([]*peerapi.FleetRecord, error) {
+// maxPacked bounds the compressed forms that are kept.
+const maxPacked = 4
+
+// put writes the changes between two revisions to a message.
+func (p *packer) put(s *peerapi.FleetState, list []records.Record, after, revision uint64) error {
+	size := 0
 	messages := make([]*peerapi.FleetRecord, len(list))
 	for i, r := range list {
-		m := &peerapi.FleetRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Lapsed: r.Lapsed}
-		if len(r.Value) > packAbove {
-			packed, err := p.pack(r)
-			if err != nil {
-				return nil, errors.Wrapf(err, "pack record %q", r.Key)
-			}
-			m.Value, m.Packed = packed, true
+		size += len(r.Key) + len(r.Value)
+		messages[i] = &peerapi.FleetRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Lapsed: r.Lapsed}
+	}
+	if size <= packAbove {
+		s.Changes = messages
+		return nil
+	}
+	if p.revision != revision || len(p.packed) >= maxPacked {
+		p.revision, p.packed = revision, make(map[uint64][]byte)
+	}
+	if p.packed[after] == nil {
+		packed, err := pack(&peerapi.FleetRecords{Records: messages})
+		if err != nil {
+			return errors.Wrap(err, "pack records")
 		}
-		messages[i] = m
+		p.packed[after] = packed
 	}
-	return messages, nil
+	s.PackedChanges = p.packed[after]
+	return nil
 }
 
-func (p *packer) pack(r records.Record) ([]byte, error) {
-	if p.key == r.Key && p.of == r.Revision && p.packed != nil {
-		return p.packed, nil
+func pack(m *peerapi.FleetRecords) ([]byte, error) {
+	plain, err := proto.Marshal(m)
+	if err != nil {
+		return nil, err
 	}
 	var buffer bytes.Buffer
 	w, err := flate.NewWriter(&buffer, flate.BestSpeed)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := w.Write(r.Value); err != nil {
+	if _, err := w.Write(plain); err != nil {
 		return nil, err
 	}
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	p.key, p.of, p.packed = r.Key, r.Revision, buffer.Bytes()
-	return p.packed, nil
+	return buffer.Bytes(), nil
 }
 
-func recordsOf(messages []*peerapi.FleetRecord) ([]records.Record, error) {
+// recordsOf returns the changes in a message.
+func recordsOf(s *peerapi.FleetState) ([]records.Record, error) {
+	messages := s.GetChanges()
+	if packed := s.GetPackedChanges(); len(packed) > 0 {
+		plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPlainBytes))
+		if err != nil {
+			return nil, errors.Wrap(err, "unpack records")
+		}
+		var all peerapi.FleetRecords
+		if err := proto.Unmarshal(plain, &all); err != nil {
+			return nil, errors.Wrap(err, "read packed records")
+		}
+		messages = all.GetRecords()
+	}
 	list := make([]records.Record, len(messages))
 	for i, m := range messages {
-		r := records.Record{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(),
+		list[i] = records.Record{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(),
 			Lapsed: m.GetLapsed()}
-		if m.GetPacked() {
-			value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Value)), maxValueBytes))
-			if err != nil {
-				return nil, errors.Wrapf(err, "unpack record %q", r.Key)
-			}
-			r.Value = value
-		}
-		list[i] = r
 	}
 	return list, nil
 }
+
+func addressesOf(list []uint32) []netip.Addr {
+	addresses := make([]netip.Addr, len(list))
+	for i, number := range list {
+		addresses[i] = addressOf(number)
+	}
+	return addresses
+}
+
+func addressOf(number uint32) netip.Addr {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], number)
+	return netip.AddrFrom4(ip)
+}
+
+func numberOf(ip netip.Addr) uint32 {
+	four := ip.As4()
+	return binary.BigEndian.Uint32(four[:])
+}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -47,6 +47,7 @@
 	deliver  func(readReport)
 	answered time.Duration // last successful call
 	failed   bool
+	started  bool          // a call was answered
 	lapses   time.Duration // removals count as lapsed until then
 }
 
@@ -81,7 +82,11 @@
 	} else {
 		call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 		defer cancel()
-		report.listing, report.err = r.source.Watch(call, r.revision, watchWait)
+		wait := watchWait
+		if !r.started {
+			wait = 0 // shows at once whether the store answers this instance
+		}
+		report.listing, report.err = r.source.Watch(call, r.revision, wait)
 	}
 	if errors.Is(report.err, ErrHistoryGone) {
 		r.revision = 0
@@ -95,7 +100,7 @@
 	if r.failed && now-r.answered > outageAfter {
 		r.lapses = now + outageAfter
 	}
-	r.answered, r.failed = now, false
+	r.answered, r.failed, r.started = now, false, true
 	r.revision = report.listing.Revision
 	report.afterOutage = now < r.lapses
 	return report
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -2,70 +2,137 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"net/netip"
 	"slices"
 	"time"
 )
 
 const (
-	// silentAfter is how long a heartbeat may take to arrive: news of a member
-	// needs about log2(n) exchanges of exchangeInterval.
-	silentAfter = 1600 * time.Millisecond
+	// silentAfter and silentPerMember are how long the news of a heartbeat may
+	// take: at least the one, and the other for each member, about six times the
+	// mean time between refreshes. Failed exchanges tell much sooner that a member
+	// is gone; 1.6 s made members of a calm fleet of 20 come and go.
+	silentAfter     = 8 * time.Second
+	silentPerMember = 200 * time.Millisecond
+	// downAfter is the number of failed exchanges in a row from which a member is
+	// told to be down. The second one follows the first at once, on a new
+	// connection, so that one lost packet accuses nobody.
+	downAfter = 2
+	// downMargin is the head start, in heartbeats, of the statement that a member
+	// is down over the heartbeats that others may have heard before its end.
+	downMargin = 20
+	// refuteMargin is the head start of the accused member's answer over other
+	// statements that it is down.
+	refuteMargin = 100
+	// provenFor is how long a heartbeat or a direct contact outweighs a statement
+	// that a member is down; after it the member is asked.
+	provenFor = time.Second
 	// forgetAfter is how long a silent member is still contacted, so that the
 	// parts of a fleet find each other after a partition.
 	forgetAfter = 120 * time.Second
 )
 
+// Bounds of what one exchange tells of other members.
+const (
+	// maxNews bounds changed members. Each change is told a number of times that
+	// grows with the logarithm of the fleet, which reaches all with near certainty.
+	maxNews      = 24
+	tellsAtLeast = 4
+	tellsPerBit  = 2
+	// maxReaders bounds the readers of the store; more read only at a start.
+	maxReaders = 6
+	// refreshed members are told of besides, the most recently heard of a sample.
+	refreshed     = 8
+	refreshSample = 24
+	// welcomed bounds the members that a peer is told of which is new here.
+	welcomed = 512
+)
+
 // roster is the table of known members. The task owns it.
 type roster struct {
 	self  Member
-	peers map[netip.Addr]*peer
+	place uint64 // of self
+	// accused is set when others say that this instance is down.
+	accused bool
+	peers   map[netip.Addr]*peer
 }
 
 func newRoster(self Member) *roster {
-	return &roster{self: self, peers: make(map[netip.Addr]*peer)}
+	return &roster{self: self, place: self.order(), peers: make(map[netip.Addr]*peer)}
 }
 
 // learn merges a statement. direct is true when it comes from the member itself.
-func (r *roster) learn(now time.Duration, m Member, direct bool) {
+// It reports whether the member should be asked, since what others say differs
+// from what is known here.
+func (r *roster) learn(now time.Duration, m Member, direct bool) (ask bool) {
 	if m.IP == r.self.IP {
-		return
+		// Only another instance's statement can be later than this one's own.
+		later := int32(m.Heartbeat - r.self.Heartbeat)
+		if m.Incarnation == r.self.Incarnation && (later > 0 || later == 0 && m.State.Has(Down)) {
+			r.self.Heartbeat, r.accused = m.Heartbeat+refuteMargin, true
+		}
+		return false
 	}
 	p := r.peers[m.IP]
 	if p == nil {
-		r.peers[m.IP] = &peer{Member: m, heard: now}
-		return
+		r.peers[m.IP] = &peer{Member: m, heard: now, place: m.order()}
+		return false
 	}
 	if direct {
-		p.failures = 0
+		p.failures, p.proven = 0, now+provenFor
 	}
 	restarted := m.Incarnation != p.Incarnation
-	if !m.newer(&p.Member) || restarted && !direct && m.Incarnation == p.former {
-		return
+	switch {
+	case direct && !restarted && p.State.Has(Down) && !m.newer(&p.Member):
+		// It runs, although others say that it is down. It hears so in the answer,
+		// and tells all with a later heartbeat.
+		p.heard = now
+		return false
+	case !m.newer(&p.Member) || restarted && !direct && m.Incarnation == p.former:
+		return !restarted && m.State.Has(Down) && r.live(now, p) && now-p.heard > provenFor
 	}
 	if restarted {
 		p.former, p.revision = p.Incarnation, 0
 	}
+	if restarted || m.State != p.State {
+		p.told = 0
+	}
 	p.Member, p.heard = m, now
+	if p.failures == 0 || m.State.Has(Down) || now < p.ask {
+		return false
+	}
+	p.ask = now + provenFor
+	return true // others reach it again
 }
 
-// failed notes an exchange that got no answer.
-func (r *roster) failed(ip netip.Addr) {
-	if p := r.peers[ip]; p != nil {
-		p.failures++
+// failed notes an exchange that got no answer, and returns how many failed in a row.
+func (r *roster) failed(now time.Duration, ip netip.Addr) int {
+	p := r.peers[ip]
+	if p == nil {
+		return 0
 	}
+	p.failures++
+	if p.failures == downAfter && !p.State.Has(Down) {
+		p.State |= Down
+		p.proven = 0
+		p.Heartbeat += uint32((now-p.heard)/tickInterval) + downMargin
+		p.told = 0
+	}
+	return p.failures
 }
 
 // live reports whether a peer is believed to run.
-func (p *peer) live(now time.Duration) bool {
-	return now-p.heard <= silentAfter && p.failures == 0
+func (r *roster) live(now time.Duration, p *peer) bool {
+	silence := max(silentAfter, time.Duration(len(r.peers)+1)*silentPerMember)
+	return p.failures == 0 && (now < p.proven || !p.State.Has(Down)) && now-p.heard <= silence
 }
 
 // livePeers returns the peers that are believed to run, by address.
 func (r *roster) livePeers(now time.Duration) []*peer {
-	var list []*peer
+	list := make([]*peer, 0, len(r.peers))
 	for _, p := range r.peers {
-		if p.live(now) {
+		if r.live(now, p) {
 			list = append(list, p)
 		}
 	}
@@ -77,7 +144,7 @@
 func (r *roster) silentPeers(now time.Duration) []*peer {
 	var list []*peer
 	for _, p := range r.peers {
-		if !p.live(now) {
+		if !r.live(now, p) {
 			list = append(list, p)
 		}
 	}
@@ -85,32 +152,48 @@
 	return list
 }
 
-// latest returns up to n members to tell others of: readers first, since all
-// instances wait for their news, then those with the most recent news.
-func (r *roster) latest(n int) []Member {
-	list := make([]*peer, 0, len(r.peers))
+// news returns what to tell a peer of other members: what others say of the peer
+// itself, the readers, since all instances wait for their news, changes that were
+// told too seldom, and some of those that were heard last.
+func (r *roster) news(now time.Duration, to netip.Addr) []Member {
+	var about, readers, changed, others []*peer
+	enough := tellsAtLeast + tellsPerBit*bits.Len(uint(len(r.peers)))
 	for _, p := range r.peers {
-		list = append(list, p)
+		switch {
+		case p.IP == to:
+			about = append(about, p)
+		case len(readers) < maxReaders && p.State.Has(Reading) && r.live(now, p):
+			readers = append(readers, p)
+		case p.told < enough:
+			changed = append(changed, p)
+		case len(others) < refreshSample: // maps are walked in random order
+			others = append(others, p)
+		}
 	}
-	slices.SortFunc(list, func(a, b *peer) int {
-		return cmp.Or(compareFlag(b.State.Has(Reading), a.State.Has(Reading)), cmp.Compare(b.heard, a.heard), a.IP.Compare(b.IP))
-	})
-	members := make([]Member, 0, n)
-	for _, p := range list[:min(n, len(list))] {
-		members = append(members, p.Member)
+	slices.SortFunc(changed, func(a, b *peer) int { return cmp.Or(cmp.Compare(a.told, b.told), a.IP.Compare(b.IP)) })
+	slices.SortFunc(others, func(a, b *peer) int { return cmp.Or(cmp.Compare(b.heard, a.heard), a.IP.Compare(b.IP)) })
+	changed = changed[:min(maxNews, len(changed))]
+	for _, p := range changed {
+		p.told++
+	}
+	members := make([]Member, 0, 1+len(readers)+len(changed)+refreshed)
+	for _, list := range [][]*peer{about, readers, changed, others[:min(refreshed, len(others))]} {
+		for _, p := range list {
+			members = append(members, p.Member)
+		}
 	}
 	return members
 }
 
-func compareFlag(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
+// all returns the members that a new instance is told of.
+func (r *roster) all() []Member {
+	members := make([]Member, 0, min(welcomed, len(r.peers)))
+	for _, p := range r.peers {
+		if len(members) < welcomed {
+			members = append(members, p.Member)
+		}
 	}
+	return members
 }
 
 // forget drops members that were silent for long.
--- /dev/null
+++ b/fleet/roster_test.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// rosters plays the exchanges of a fleet in virtual time.
+type rosters struct {
+	random *rand.Rand
+	now    time.Duration
+	list   []*roster
+	down   map[*roster]bool
+	byIP   map[netip.Addr]*roster
+}
+
+func newRosters(n int) *rosters {
+	f := &rosters{random: rand.New(rand.NewPCG(1, 2)), down: make(map[*roster]bool), byIP: make(map[netip.Addr]*roster)}
+	for i := range n {
+		member := Member{IP: netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), Incarnation: uint32(i + 1), State: Ready}
+		f.list = append(f.list, newRoster(member))
+		f.byIP[member.IP] = f.list[i]
+	}
+	for _, r := range f.list {
+		for _, other := range f.list {
+			r.learn(0, other.self, true)
+		}
+	}
+	return f
+}
+
+// tell passes what one instance knows on to another one.
+func (f *rosters) tell(from, to *roster) {
+	to.learn(f.now, from.self, true)
+	for _, m := range from.news(f.now, to.self.IP) {
+		if to.learn(f.now, m, false) {
+			f.contact(to, m.IP)
+		}
+	}
+}
+
+// contact makes an exchange, and a second one after a failure.
+func (f *rosters) contact(r *roster, ip netip.Addr) {
+	for range downAfter {
+		if other := f.byIP[ip]; !f.down[other] {
+			f.tell(r, other)
+			f.tell(other, r)
+			return
+		}
+		r.failed(f.now, ip)
+	}
+}
+
+// partner returns one of the few regular partners of an instance.
+func (f *rosters) partner(i int) netip.Addr {
+	step := pairOrder(f.list[i].self.IP, f.list[f.random.IntN(nearPartners)].self.IP) % uint64(len(f.list)-1)
+	return f.list[(i+1+int(step))%len(f.list)].self.IP
+}
+
+// play lets time pass. Each instance exchanges with a few partners of its own,
+// and now and then with one that is silent.
+func (f *rosters) play(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += tickInterval {
+		for i, r := range f.list {
+			if f.down[r] {
+				continue
+			}
+			r.self.Heartbeat++
+			if r.accused {
+				r.accused = false
+				for range treeHeads {
+					f.contact(r, f.partner(i))
+				}
+			}
+			if f.random.IntN(5) < 2 { // each exchangeInterval in the mean
+				f.contact(r, f.partner(i))
+			}
+			if silent := r.silentPeers(f.now); len(silent) > 0 && f.random.IntN(15) == 0 {
+				f.contact(r, silent[f.random.IntN(len(silent))].IP)
+			}
+		}
+	}
+}
+
+// wrong counts the beliefs that are not true.
+func (f *rosters) wrong() (n int) {
+	for _, r := range f.list {
+		for _, p := range r.peers {
+			if !f.down[r] && r.live(f.now, p) == f.down[f.byIP[p.IP]] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against members of a large fleet that count as gone because nobody can
+// pass on everybody's heartbeats in time (an instance of 153 believed in 60), and
+// against detection that takes longer in a larger fleet.
+func TestLargeFleetAgreesWhoIsAlive(t *testing.T) {
+	for _, n := range []int{20, 100} {
+		is := is.New(t)
+		f := newRosters(n)
+		for range 15 {
+			f.play(time.Second)
+			is.Equal(f.wrong(), 0)
+		}
+		for i := range 5 {
+			f.down[f.list[3*i]] = true
+		}
+		f.play(5 * time.Second)
+		is.Equal(f.wrong(), 0)
+		clear(f.down) // they were frozen, and know nothing of it
+		f.play(5 * time.Second)
+		is.Equal(f.wrong(), 0)
+	}
+}
+
+// Guards against an accusation that outlives the accused one's restart, and
+// against a restarted member that its former incarnation's end takes down.
+func TestRestartEndsAnAccusation(t *testing.T) {
+	is := is.New(t)
+	f := newRosters(3)
+	a, b, c := f.list[0], f.list[1], f.list[2]
+	f.down[c] = true
+	f.contact(a, c.self.IP)
+	f.tell(a, b)
+	is.True(!b.live(f.now, b.peers[c.self.IP]))
+	f.down[c] = false
+	c.self.Incarnation, c.self.Heartbeat = 99, 0
+	f.tell(c, b)
+	is.True(b.live(f.now, b.peers[c.self.IP]))
+	f.tell(a, b) // still of the former incarnation
+	is.True(b.live(f.now, b.peers[c.self.IP]))
+	f.tell(b, a)
+	is.True(a.peers[c.self.IP].Incarnation == 99)
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -20,8 +20,16 @@
 // Exchange implements peerapi.FleetServer.
 func (s *service) Exchange(ctx context.Context, state *peerapi.FleetState) (*peerapi.FleetState, error) {
 	answer, err := owner.Ask(ctx, s.task.loop, func(now time.Duration) *peerapi.FleetState {
-		s.task.merge(now, state)
-		return s.task.state(state.GetRevision(), true)
+		stranger := s.task.merge(now, state)
+		sender := addressOf(state.GetSelf().GetIp())
+		answer := s.task.state(now, sender, state.GetRevision(), true)
+		if stranger {
+			answer.Members = answer.Members[:0]
+			for _, m := range s.task.roster.all() {
+				answer.Members = append(answer.Members, memberMessage(m))
+			}
+		}
+		return answer
 	})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -51,18 +50,21 @@
 	failing    bool
 	nextRound  time.Duration
 	round      int
-	busy       map[netip.Addr]bool // peers with an exchange under way
-	again      map[netip.Addr]bool // peers to contact again once it is over
-	orphaned   bool                // no reader has been heard lately
-	reported   int                 // live instances in the last log line
-	spreading  bool                // peers are told of a change soon
-	reach      reach               // which ones
+	busy       map[netip.Addr]bool         // peers with an exchange under way
+	again      map[netip.Addr][]netip.Addr // peers to contact again once it is over, and whom they tell
+	orphaned   bool                        // no reader has been heard lately
+	reported   int                         // live instances in the last log line
+	owed       []netip.Addr                // peers to tell once the changes have arrived
+	owedAfter  uint64                      // the revision from which they are told
+	told       uint64                      // revision of the last change that was spread
+	spreading  bool                        // peers are told of a change soon
+	reach      reach                       // which ones
 }
 
 // New returns a task that Run starts.
 func New(o Options) *Task {
 	t := &Task{options: o, loop: owner.New(o.Now), set: records.NewSet(), builder: catalog.NewBuilder(),
-		clients: newClients(o.Port, o.Identity), busy: make(map[netip.Addr]bool), again: make(map[netip.Addr]bool)}
+		clients: newClients(o.Port, o.Identity), busy: make(map[netip.Addr]bool), again: make(map[netip.Addr][]netip.Addr)}
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
 	t.view.Store(t.builder.Build(0, 0))
 	t.snapshot.Store(&Snapshot{Size: 1})
@@ -79,7 +81,7 @@
 func (t *Task) SetReady(ready bool) {
 	t.loop.Post(func(time.Duration) {
 		if t.setState(Ready, ready) {
-			t.spread(inFleet)
+			t.spread(aFew)
 		}
 	})
 }
@@ -99,10 +101,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.context, t.started = ctx, t.options.Now()
-	t.readFrom = t.started + startDelay + rand.N(startSpread)
-	if t.options.FirstStart {
-		t.readFrom = t.started + firstStartDelay
-	}
+	t.readFrom = t.started + t.options.startDelay()
 	server := grpc.NewServer(t.options.Identity.Serve(), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.ConnectionTimeout(exchangeTimeout))
 	peerapi.RegisterFleetServer(server, &service{task: t})
@@ -147,6 +146,9 @@
 	t.steerReader(now)
 	if now >= t.nextRound {
 		t.nextRound = now + exchangeInterval
+		if t.set.Revision() == 0 {
+			t.nextRound = now // a start: peers are asked with each tick
+		}
 		t.startRound(now)
 	}
 	t.publishSnapshot(now)
@@ -202,6 +204,7 @@
 		t.options.Log.Info("regained the store", "revision", report.listing.Revision, "down_ms", (now - t.answered).Milliseconds())
 	}
 	t.failing, t.failedAt, t.answered = false, 0, now
+	first := t.set.Revision() == 0
 	var news []records.Record
 	if report.full {
 		news = t.set.Replace(report.listing.Records, report.listing.Revision, report.afterOutage)
@@ -213,10 +216,16 @@
 		news = t.set.Apply(report.listing.Records, report.listing.Revision)
 	}
 	t.steerReader(now)
-	if len(news) > 0 {
-		t.apply(now, news)
-		t.spread(inFleet)
+	if len(news) == 0 {
+		return
 	}
+	t.apply(now, news)
+	if first { // others that start wait for it
+		t.reach = inFleet
+		t.spreadNow(now)
+		return
+	}
+	t.spreadUnlessTold(now)
 }
 
 // apply decodes changed records and publishes the new view.
@@ -264,9 +273,7 @@
 		if now-p.heard < sizeMemory && !p.State.Has(Leaving) {
 			s.Size++
 		}
-	}
-	for _, p := range t.roster.livePeers(now) {
-		if p.State.Has(Ready) && !p.State.Has(Leaving) {
+		if p.State.Has(Ready) && !p.State.Has(Leaving) && t.roster.live(now, p) {
 			s.Live = append(s.Live, Instance{IP: p.IP, Domain: p.Domain})
 		}
 	}
