--- a/fleet/errand.go
+++ b/fleet/broadcast.go
@@ -2,9 +2,10 @@
 
 import "net/netip"
 
-// errand is what an exchange is for besides the members and the revision that
-// every exchange tells. The zero value is a plain exchange.
-type errand struct {
+// broadcast is the part that an exchange has in telling the fleet of a change,
+// besides the members and the revision that every exchange tells. The zero value
+// is a plain exchange.
+type broadcast struct {
 	// changes is set when the peer is told of changes, which it is likely not to
 	// have after the revision in after.
 	changes bool
@@ -13,8 +14,8 @@
 	relay []netip.Addr
 }
 
-// add merges another errand for the same peer.
-func (e *errand) add(other errand) {
+// add merges another one for the same peer.
+func (e *broadcast) add(other broadcast) {
 	if other.changes {
 		if !e.changes || other.after < e.after {
 			e.after = other.after
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -17,13 +17,13 @@
 const (
 	// exchangeInterval is the time between exchanges that an instance starts.
 	exchangeInterval = 250 * time.Millisecond
-	// treeHeads is how many peers an instance tells of a change at once. Each of
+	// treeFanout is how many peers an instance tells of a change at once. Each of
 	// them tells its part of the others in turn, so every instance hears of a
 	// change once, and nobody has much to send.
-	treeHeads = 6
-	// remoteHeads is the same for each other failure domain, which bounds the bytes
+	treeFanout = 6
+	// remoteFanout is the same for each other failure domain, which bounds the bytes
 	// between domains.
-	remoteHeads = 1
+	remoteFanout = 1
 	// maxSearched bounds the peers that are searched at once.
 	maxSearched = 24
 	// seedRetry is the time between attempts to reach a seed while nothing is known.
@@ -60,14 +60,14 @@
 	}
 	near, far := t.byDomain(live)
 	if t.round%nextEvery == nextEvery/2 && len(near) > 0 {
-		t.contact(now, t.next(near), errand{})
+		t.contact(now, t.next(near), broadcast{})
 		return
 	}
 	list := t.partners(near, nearPartners)
 	if t.round%farEvery == 0 && len(far) > 0 || len(near) == 0 {
 		list = t.partners(far, farPartners)
 	}
-	t.contact(now, list[rand.IntN(len(list))].IP, errand{})
+	t.contact(now, list[rand.IntN(len(list))].IP, broadcast{})
 }
 
 // next returns the first peer of a list, sorted by address, after this instance.
@@ -126,11 +126,11 @@
 	}
 	if all {
 		for _, ip := range unknown[:min(len(unknown), maxSearched)] {
-			t.contact(now, ip, errand{})
+			t.contact(now, ip, broadcast{})
 		}
 		return
 	}
-	t.contact(now, unknown[rand.IntN(len(unknown))], errand{})
+	t.contact(now, unknown[rand.IntN(len(unknown))], broadcast{})
 }
 
 // reach is how far a change is told.
@@ -163,9 +163,9 @@
 	for domain, list := range t.liveByDomain(now) {
 		switch {
 		case domain == t.options.Domain:
-			t.tell(now, errand{changes: true, after: t.told, relay: list}, treeHeads)
+			t.tell(now, broadcast{changes: true, after: t.told, relay: list}, treeFanout)
 		case reach == inFleet:
-			t.tell(now, errand{changes: true, after: t.told, relay: list}, remoteHeads)
+			t.tell(now, broadcast{changes: true, after: t.told, relay: list}, remoteFanout)
 		}
 	}
 	t.told = t.set.Revision()
@@ -190,23 +190,23 @@
 // instance. Others hear of it within some exchanges.
 func (t *Task) announce(now time.Duration) {
 	for domain, list := range t.liveByDomain(now) {
-		heads := remoteHeads
+		heads := remoteFanout
 		if domain == t.options.Domain {
-			heads = treeHeads
+			heads = treeFanout
 		}
 		for _, ip := range list[:min(heads, len(list))] {
-			t.contact(now, ip, errand{})
+			t.contact(now, ip, broadcast{})
 		}
 	}
 }
 
-// tell does an errand for the instances in relay: it contacts some of them, each
+// tell passes a broadcast on to the instances in relay: it contacts some of them, each
 // of which tells its part of the rest.
-func (t *Task) tell(now time.Duration, e errand, heads int) {
+func (t *Task) tell(now time.Duration, e broadcast, heads int) {
 	list := e.relay
 	heads = min(heads, len(list))
 	for i := range heads {
-		part := errand{changes: e.changes, after: e.after}
+		part := broadcast{changes: e.changes, after: e.after}
 		for j := i + heads; j < len(list); j += heads {
 			part.relay = append(part.relay, list[j])
 		}
@@ -217,11 +217,11 @@
 // contact starts an exchange with a peer, or notes that another one is due when
 // one is under way. A peer that is not told of a change has most likely heard of
 // it; it asks when its revision is older than this instance's.
-func (t *Task) contact(now time.Duration, ip netip.Addr, e errand) {
+func (t *Task) contact(now time.Duration, ip netip.Addr, e broadcast) {
 	if t.busy[ip] {
 		due := t.again[ip]
 		if due == nil {
-			due = new(errand)
+			due = new(broadcast)
 			t.again[ip] = due
 		}
 		due.add(e)
@@ -280,7 +280,7 @@
 }
 
 // exchanged takes the result of an exchange.
-func (t *Task) exchanged(now time.Duration, ip netip.Addr, e errand, answer *peerapi.FleetState, err error) {
+func (t *Task) exchanged(now time.Duration, ip netip.Addr, e broadcast, answer *peerapi.FleetState, err error) {
 	delete(t.busy, ip)
 	due := t.again[ip]
 	delete(t.again, ip)
@@ -289,7 +289,7 @@
 		if due != nil {
 			e.add(*due)
 		}
-		t.tell(now, e, treeHeads) // the peer tells nobody
+		t.tell(now, e, treeFanout) // the peer tells nobody
 		return
 	}
 	t.merge(now, answer)
@@ -308,7 +308,7 @@
 	}
 	if failures == 0 {
 		if t.set.Revision() == 0 && slices.Contains(t.options.Seeds, ip) { // the whole fleet may be starting
-			time.AfterFunc(seedRetry, func() { t.loop.Post(func(now time.Duration) { t.contact(now, ip, errand{}) }) })
+			time.AfterFunc(seedRetry, func() { t.loop.Post(func(now time.Duration) { t.contact(now, ip, broadcast{}) }) })
 		}
 		return
 	}
@@ -316,7 +316,7 @@
 		t.options.Log.Warn("lost a peer", "peer", ip.String(), "error", err.Error())
 	}
 	if failures < downAfter {
-		t.contact(now, ip, errand{})
+		t.contact(now, ip, broadcast{})
 	} else if failures == downAfter {
 		t.spread(aFew)
 	}
@@ -362,22 +362,22 @@
 	}
 	for _, m := range s.GetMembers() {
 		if member := memberOf(m); t.roster.learn(now, member, false) && !t.busy[member.IP] {
-			t.contact(now, member.IP, errand{})
+			t.contact(now, member.IP, broadcast{})
 		}
 	}
-	if t.roster.accused {
-		t.roster.accused = false
+	if t.roster.declaredDown {
+		t.roster.declaredDown = false
 		t.options.Log.Warn("others say that this instance is down", "said_by", sender.IP.String())
 		t.spread(aFew)
 	}
 	t.mergeRecords(now, s, sender.IP)
 	if relay := addressesOf(s.GetRelay()); len(relay) > 0 {
-		t.owed.add(errand{changes: s.GetHasChanges(), after: s.GetChangesAfter(), relay: relay})
+		t.owed.add(broadcast{changes: s.GetHasChanges(), after: s.GetChangesAfter(), relay: relay})
 	}
 	if len(t.owed.relay) > 0 && t.set.Revision() >= s.GetRevision() {
 		owed := t.owed
-		t.owed = errand{}
-		t.tell(now, owed, treeHeads)
+		t.owed = broadcast{}
+		t.tell(now, owed, treeFanout)
 	}
 	return stranger
 }
@@ -387,7 +387,7 @@
 		return
 	}
 	if !s.GetHasChanges() || !s.GetFull() && s.GetChangesAfter() > t.set.Revision() {
-		t.contact(now, sender, errand{}) // its answer holds what is missing
+		t.contact(now, sender, broadcast{}) // its answer holds what is missing
 		return
 	}
 	list, err := recordsOf(s)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -20,13 +20,13 @@
 	maxAsked = 4
 	// downAfter is the number of failed exchanges in a row from which a member is
 	// told to be down. The second one follows the first at once, on a new
-	// connection, so that one lost packet accuses nobody.
+	// connection, so that one lost packet declares nobody down.
 	downAfter = 2
 	// downMargin is the head start, in heartbeats, of the statement that a member
 	// is down over the heartbeats that others may have heard before its end.
 	downMargin = 20
-	// refuteMargin is the head start of the accused member's answer over other
-	// statements that it is down.
+	// refuteMargin is the head start, in heartbeats, of the member's refutation over
+	// other statements that it is down.
 	refuteMargin = 100
 	// provenFor is how long a heartbeat or a direct contact outweighs a statement
 	// that a member is down; after it the member is asked.
@@ -48,17 +48,17 @@
 	// refreshed members are told of besides, the most recently heard of a sample.
 	refreshed     = 8
 	refreshSample = 12
-	// welcomed bounds the members that a peer is told of which is new here.
-	welcomed = 512
+	// maxIntroduced bounds the members that a peer is told of which is new here.
+	maxIntroduced = 512
 )
 
 // roster is the table of known members. The task owns it.
 type roster struct {
 	self  Member
 	place uint64 // of self
-	// accused is set when others say that this instance is down.
-	accused bool
-	peers   map[netip.Addr]*peer
+	// declaredDown is set when others say that this instance is down.
+	declaredDown bool
+	peers        map[netip.Addr]*peer
 }
 
 func newRoster(self Member) *roster {
@@ -73,7 +73,7 @@
 		// Only another instance's statement can be later than this one's own.
 		later := int32(m.Heartbeat - r.self.Heartbeat)
 		if m.Incarnation == r.self.Incarnation && (later > 0 || later == 0 && m.State.Has(Down)) {
-			r.self.Heartbeat, r.accused = m.Heartbeat+refuteMargin, true
+			r.self.Heartbeat, r.declaredDown = m.Heartbeat+refuteMargin, true
 		}
 		return false
 	}
@@ -202,9 +202,9 @@
 
 // all returns the members that a new instance is told of.
 func (r *roster) all() []Member {
-	members := make([]Member, 0, min(welcomed, len(r.peers)))
+	members := make([]Member, 0, min(maxIntroduced, len(r.peers)))
 	for _, p := range r.peers {
-		if len(members) < welcomed {
+		if len(members) < maxIntroduced {
 			members = append(members, p.Member)
 		}
 	}
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -81,9 +81,9 @@
 				continue
 			}
 			r.self.Heartbeat++
-			if r.accused {
-				r.accused = false
-				for range treeHeads {
+			if r.declaredDown {
+				r.declaredDown = false
+				for range treeFanout {
 					f.contact(r, f.partner(i))
 				}
 			}
@@ -137,9 +137,9 @@
 	}
 }
 
-// Guards against an accusation that outlives the accused one's restart, and
-// against a restarted member that its former incarnation's end takes down.
-func TestRestartEndsAnAccusation(t *testing.T) {
+// Guards against a down statement that outlives the member's restart, and against
+// a restarted member that its former incarnation's end takes down.
+func TestRestartEndsDownStatement(t *testing.T) {
 	is := is.New(t)
 	f := newRosters(3)
 	a, b, c := f.list[0], f.list[1], f.list[2]
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -50,20 +50,20 @@
 	failing    bool
 	nextRound  time.Duration
 	round      int
-	busy       map[netip.Addr]bool    // peers with an exchange under way
-	again      map[netip.Addr]*errand // errands for peers with an exchange under way
-	orphaned   bool                   // no reader has been heard lately
-	reported   int                    // live instances in the last log line
-	owed       errand                 // to do once the changes have arrived
-	told       uint64                 // revision of the last change that was spread
-	spreading  bool                   // peers are told of a change soon
-	reach      reach                  // which ones
+	busy       map[netip.Addr]bool       // peers with an exchange under way
+	again      map[netip.Addr]*broadcast // what to tell peers with an exchange under way
+	orphaned   bool                      // no reader has been heard lately
+	reported   int                       // live instances in the last log line
+	owed       broadcast                 // to do once the changes have arrived
+	told       uint64                    // revision of the last change that was spread
+	spreading  bool                      // peers are told of a change soon
+	reach      reach                     // which ones
 }
 
 // New returns a task that Run starts.
 func New(o Options) *Task {
 	t := &Task{options: o, loop: owner.New(o.Now), set: records.NewSet(), builder: catalog.NewBuilder(),
-		clients: newClients(o.Port, o.Identity), busy: make(map[netip.Addr]bool), again: make(map[netip.Addr]*errand)}
+		clients: newClients(o.Port, o.Identity), busy: make(map[netip.Addr]bool), again: make(map[netip.Addr]*broadcast)}
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
 	t.view.Store(t.builder.Build(0, 0))
 	t.snapshot.Store(&Snapshot{Size: 1})
@@ -144,7 +144,7 @@
 	}
 	t.steerReader(now)
 	for _, ip := range t.roster.quiet(now) {
-		t.contact(now, ip, errand{})
+		t.contact(now, ip, broadcast{})
 	}
 	if now >= t.nextRound {
 		t.nextRound = now + exchangeInterval
--- a/instance.go
+++ b/instance.go
@@ -111,17 +111,7 @@
 
 // ReloadCertificates reads the files of the security settings again. After an
 // error the former certificates stay.
-func (i *Instance) ReloadCertificates() {
-	if i.identity == nil {
-		i.log.Info("no certificates to reload")
-		return
-	}
-	if err := i.identity.Reload(); err != nil {
-		i.log.Warn("certificates not reloaded, the former ones stay", "error", err.Error())
-		return
-	}
-	i.log.Info("certificates reloaded")
-}
+func (i *Instance) ReloadCertificates() { i.identity.ReloadLogged(i.log) }
 
 // now returns the time since the instance's start on the monotonic clock.
 func (i *Instance) now() time.Duration { return time.Since(i.start) }
--- a/internal/edgecli/supervisor.go
+++ b/internal/edgecli/supervisor.go
@@ -31,7 +31,7 @@
 		case received := <-signals:
 			if received == syscall.SIGHUP {
 				s.reload("signal")
-				s.reloadCertificates()
+				s.identity.ReloadLogged(s.log)
 			} else {
 				s.node.Stop()
 			}
@@ -60,15 +60,3 @@
 	}
 	s.node.Reload(settings)
 }
-
-// reloadCertificates keeps the former certificates when the files cannot be used.
-func (s *supervisor) reloadCertificates() {
-	if s.identity == nil {
-		return
-	}
-	if err := s.identity.Reload(); err != nil {
-		s.log.Warn("certificates not reloaded, the former ones stay", "error", err.Error())
-		return
-	}
-	s.log.Info("certificates reloaded")
-}
--- a/secure/identity.go
+++ b/secure/identity.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"log/slog"
 	"os"
 	"sync/atomic"
 
@@ -61,6 +62,19 @@
 	return nil
 }
 
+// ReloadLogged reads the files again and logs the result.
+func (i *Identity) ReloadLogged(log *slog.Logger) {
+	if i == nil {
+		log.Info("no certificates to reload")
+		return
+	}
+	if err := i.Reload(); err != nil {
+		log.Warn("certificates not reloaded, the former ones stay", "error", err.Error())
+		return
+	}
+	log.Info("certificates reloaded")
+}
+
 // Server returns the configuration of a listening end.
 func (i *Identity) Server() *tls.Config {
 	return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{"h2", "http/1.1"},
