--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -103,25 +103,6 @@
 	}
 }
 
-// reload changes the settings of an instance and sends SIGHUP.
-func (i *instance) reload(r *rand.Rand) {
-	i.mu.Lock()
-	i.settings.Bounds.RetryAllowance = float64(retryAllowance - r.IntN(10))
-	err := i.writeSettings()
-	i.mu.Unlock()
-	if err != nil {
-		i.fault(err.Error())
-	}
-	i.signal(syscall.SIGHUP)
-}
-
-// fault notes a promise that the process, or its start, broke.
-func (i *instance) fault(text string) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.faults = append(i.faults, text)
-}
-
 // drain announces that a target leaves, removes it, and lets it come back under
 // another identity.
 func (f *fleet) drain(ctx context.Context, t *target) {
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -74,7 +75,7 @@
 		return errors.Wrapf(err, "open log of %s", i.settings.ID)
 	}
 	command := exec.Command(i.program)
-	command.Env = append(os.Environ(), platformtest.Settings+"="+i.path)
+	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+i.path)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -140,6 +141,25 @@
 	return false
 }
 
+// reload changes the settings of an instance and sends SIGHUP.
+func (i *instance) reload(r *rand.Rand) {
+	i.mu.Lock()
+	i.settings.Bounds.RetryAllowance = float64(retryAllowance - r.IntN(10))
+	err := i.writeSettings()
+	i.mu.Unlock()
+	if err != nil {
+		i.fault(err.Error())
+	}
+	i.signal(syscall.SIGHUP)
+}
+
+// fault notes a promise that the process, or its start, broke.
+func (i *instance) fault(text string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.faults = append(i.faults, text)
+}
+
 func (i *instance) close() {
 	i.entry.close()
 	i.store.close()
