--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/gateway"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/platform/platformtest"
 )
 
@@ -52,7 +53,7 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.drop()
 	for ctx.Err() == nil {
-		wait(ctx, time.Duration(c.random.Int64N(int64(maxThink))))
+		backoff.Sleep(ctx, upTo(c.random, maxThink))
 		if c.conn == nil && !c.connect(ctx) {
 			continue
 		}
@@ -93,7 +94,7 @@
 // askAt sends one request on a route to an instance and returns its status, 0
 // without an answer.
 func (c *caller) askAt(ctx context.Context, i *instance, route string) int {
-	wait(ctx, time.Duration(c.random.Int64N(int64(maxThink))))
+	backoff.Sleep(ctx, upTo(c.random, maxThink))
 	if c.conn == nil && !c.dial(ctx, i) {
 		return 0
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 )
 
 // fault is one kind of event. It returns when it is over; several run at a time.
@@ -26,7 +27,7 @@
 	{"stop and start", true, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		i := f.any(r)
 		i.stop()
-		wait(ctx, time.Duration(r.Int64N(int64(time.Second))))
+		backoff.Sleep(ctx, upTo(r, time.Second))
 		f.start(i)
 	}},
 	{"settings", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.any(r).reload(r) }},
@@ -35,22 +36,20 @@
 	{"kill", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		i := f.any(r)
 		i.signal(syscall.SIGKILL)
-		wait(ctx, time.Duration(r.Int64N(int64(2*time.Second))))
+		backoff.Sleep(ctx, upTo(r, 2*time.Second))
 		f.start(i)
 	}},
 	{"kill all", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		for _, i := range f.instances {
 			i.signal(syscall.SIGKILL)
 		}
-		wait(ctx, time.Duration(r.Int64N(int64(time.Second))))
-		for _, i := range f.instances {
-			f.start(i)
-		}
+		backoff.Sleep(ctx, upTo(r, time.Second))
+		f.startAll()
 	}},
 	{"pause", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		i := f.any(r)
 		i.signal(syscall.SIGSTOP)
-		wait(ctx, span(r, 4*time.Second))
+		backoff.Sleep(ctx, span(r, 4*time.Second))
 		i.signal(syscall.SIGCONT)
 	}},
 	{"callers' link", false, func(ctx context.Context, f *fleet, r *rand.Rand) { disturb(ctx, f.any(r).entry, r) }},
@@ -58,7 +57,7 @@
 	{"store's link", false, func(ctx context.Context, f *fleet, r *rand.Rand) { disturb(ctx, f.any(r).store, r) }},
 	{"store down", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		f.store.Refuse(func(*http.Request) bool { return true })
-		wait(ctx, span(r, 4*time.Second))
+		backoff.Sleep(ctx, span(r, 4*time.Second))
 		f.store.Refuse(nil)
 	}},
 	{"store forgets", false, func(_ context.Context, f *fleet, _ *rand.Rand) { f.store.Compact() }},
@@ -67,15 +66,20 @@
 		b := []behaviour{{lose: share}, {spoil: share}, {fail: share}, {reject: share}, {hang: share}, {slow: 1 + 9*share}}[r.IntN(6)]
 		t := f.anyTarget(r)
 		t.alter(func(_ *catalog.Target, now *behaviour) { *now = b })
-		wait(ctx, span(r, 4*time.Second))
+		backoff.Sleep(ctx, span(r, 4*time.Second))
 		t.alter(func(_ *catalog.Target, now *behaviour) { *now = behaviour{} })
 	}},
 	{"address taken over", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.replace(ctx, f.anyTarget(r), r) }},
 }
 
+// upTo returns a random duration below a limit.
+func upTo(r *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(limit)))
+}
+
 // span returns a random duration up to a limit, at least a tenth of it.
 func span(r *rand.Rand, limit time.Duration) time.Duration {
-	return limit/10 + time.Duration(r.Int64N(int64(limit-limit/10)))
+	return limit/10 + upTo(r, limit-limit/10)
 }
 
 // disturb does one of the things that a link can do.
@@ -89,7 +93,7 @@
 			return
 		}
 	}
-	wait(ctx, span(r, 3*time.Second))
+	backoff.Sleep(ctx, span(r, 3*time.Second))
 	l.set(linkState{})
 }
 
@@ -103,6 +107,13 @@
 	}
 }
 
+// startAll starts the instances that do not run.
+func (f *fleet) startAll() {
+	for _, i := range f.instances {
+		f.start(i)
+	}
+}
+
 // drain announces that a target leaves, removes it, and lets it come back under
 // another identity.
 func (f *fleet) drain(ctx context.Context, t *target) {
@@ -110,7 +121,7 @@
 	defer t.event.Unlock()
 	t.alter(func(entry *catalog.Target, _ *behaviour) { entry.Draining = true })
 	f.publish(t)
-	wait(ctx, drainLimit+longWork*tailFactor)
+	backoff.Sleep(ctx, drainLimit+longWork*tailFactor)
 	f.withdraw(t)
 	t.alter(func(entry *catalog.Target, _ *behaviour) { entry.Draining, entry.ID = false, successor(entry.ID) })
 	f.publish(t)
@@ -122,9 +133,9 @@
 	defer t.event.Unlock()
 	t.path.set(linkState{refuse: true})
 	t.path.reset()
-	wait(ctx, time.Duration(r.Int64N(int64(time.Second))))
+	backoff.Sleep(ctx, upTo(r, time.Second))
 	f.withdraw(t)
-	wait(ctx, drainLimit)
+	backoff.Sleep(ctx, drainLimit)
 	t.alter(func(entry *catalog.Target, _ *behaviour) {
 		entry.ID, entry.Draining = successor(entry.ID), false
 		if entry.Service == services[0] {
@@ -156,7 +167,7 @@
 	case 1:
 		route.Parts = []catalog.Part{{Service: services[0], Weight: 1 + r.IntN(5)}, {Service: services[1], Weight: 1 + r.IntN(5)}}
 	case 2:
-		route.Timeout = patience/2 + time.Duration(r.Int64N(int64(patience)))
+		route.Timeout = patience/2 + upTo(r, patience)
 	default:
 		if len(f.config.Routes) > len(routes) {
 			f.config.Routes = f.config.Routes[:len(routes)]
@@ -195,9 +206,9 @@
 		kind := kinds[r.IntN(len(kinds))]
 		for range 1 + r.IntN(3) {
 			events = append(events, event{fault: kind, at: at, random: rand.New(rand.NewPCG(o.Seed, uint64(len(events)+2)))})
-			at += time.Duration(r.Int64N(int64(600 * time.Millisecond)))
+			at += upTo(r, 600*time.Millisecond)
 		}
-		at += time.Duration(r.Int64N(int64(1200 * time.Millisecond)))
+		at += upTo(r, 1200*time.Millisecond)
 	}
 	return events
 }
@@ -207,7 +218,7 @@
 	begin := f.now()
 	var all sync.WaitGroup
 	for _, e := range events {
-		wait(ctx, begin+e.at-f.now())
+		backoff.Sleep(ctx, begin+e.at-f.now())
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/platform"
 	"github.com/dogwoodroute/dogwoodroute/platform/platformtest"
 )
@@ -119,7 +120,7 @@
 	var missing []string
 	for _, i := range f.instances {
 		for !platformtest.Ready(ctx, f.client, i.settings.Addresses.Readiness) && ctx.Err() == nil {
-			wait(ctx, 20*time.Millisecond)
+			backoff.Sleep(ctx, 20*time.Millisecond)
 		}
 		if ctx.Err() != nil {
 			missing = append(missing, i.settings.ID)
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -67,11 +67,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a failure means that it is closed already
-		}
-		_ = c.Close()
+		abort(c)
+	}
+}
+
+// abort ends a connection with a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a failure means that it is closed already
 	}
+	_ = c.Close()
 }
 
 func (l *link) close() {
@@ -88,10 +93,7 @@
 			return
 		}
 		if l.now().refuse {
-			if tcp, ok := client.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = client.Close()
+			abort(client)
 			continue
 		}
 		l.done.Go(func() { l.serve(client) })
@@ -103,9 +105,7 @@
 	defer l.forget(client)
 	server, err := net.Dial("tcp", l.to)
 	if err != nil { // nobody listens, so the client gets a reset as well
-		if tcp, ok := client.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		abort(client)
 		return
 	}
 	l.track(server)
@@ -155,15 +155,11 @@
 			for silent(l.now()) { // the end is not seen either
 				time.Sleep(silentPoll)
 			}
-			tcp, ok := to.(*net.TCPConn)
-			if ok && err == io.EOF && !swallowed {
+			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF && !swallowed {
 				_ = tcp.CloseWrite() // fails only when the connection has ended
 				return
 			}
-			if ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = to.Close()
+			abort(to)
 			return
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,9 +43,7 @@
 		return nil, errors.Wrap(err, "open the fleet")
 	}
 	defer f.close()
-	for _, i := range f.instances {
-		f.start(i)
-	}
+	f.startAll()
 	broken := f.unsettled(ctx, "at the start")
 	for _, i := range f.instances {
 		i.settings.FirstStart = false
@@ -55,9 +53,7 @@
 	}
 	stopCallers := f.startCallers(ctx)
 	f.play(ctx, schedule(o))
-	for _, i := range f.instances {
-		f.start(i)
-	}
+	f.startAll()
 	broken = append(broken, f.unsettled(ctx, "after the faults")...)
 	broken = append(broken, f.converge(ctx)...)
 	stopCallers()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -16,6 +16,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/platform/platformtest"
 )
@@ -132,7 +133,7 @@
 		t.refuse(w, arrival, http.StatusServiceUnavailable)
 	case taken(b.hang):
 		t.ledger.arrived(arrival)
-		wait(r.Context(), hangTime)
+		backoff.Sleep(r.Context(), hangTime)
 		panic(http.ErrAbortHandler)
 	case taken(b.lose):
 		t.work(r.Context(), arrival, b)
@@ -176,7 +177,7 @@
 	if b.slow > 0 {
 		took = time.Duration(b.slow * float64(took))
 	}
-	wait(ctx, took)
+	backoff.Sleep(ctx, took)
 }
 
 func (t *target) load(b behaviour) string {
@@ -187,12 +188,3 @@
 func answerOf(id string) string {
 	return id + strings.Repeat(".", int(xxhash.Sum64String(id)%maxAnswerFill))
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
