Split the spread of changes off exchange.go and share what was written twice

Comments of configservice and fleet said what no longer holds. Behaviour is the same.

Ruled out: the answer to a stranger computes news that it then replaces; leaving that out would change how often a change is passed on. The checks of the soak and the names in platformtest stay apart from what they test.

--- a/configservice/doc.go
+++ b/configservice/doc.go
@@ -1,5 +1,6 @@
-// Package configservice reads what a configuration service publishes: the configuration
-// service and the list of instances. Nothing is ever written to either.
+// Package configservice reads what the project's own configuration service
+// publishes: the configuration and the list of instances. Nothing is ever written
+// to either.
 //
 // Both are served over HTTP with long polling. A read is a GET, answered with
 // status 200, the value and an ETag. A watch is a GET with the query parameter
--- a/configservice/error.go
+++ b/configservice/error.go
@@ -13,7 +13,7 @@
 	StepSize    Step = "size"    // the body is over MaxValueBytes
 )
 
-// SourceError is the failure of one call to the platform.
+// SourceError is the failure of one call to the service.
 type SourceError struct {
 	Step Step
 	// Peer is the host and port of the service.
--- a/fleet/broadcast.go
+++ b/fleet/broadcast.go
@@ -15,12 +15,12 @@
 }
 
 // add merges another one for the same peer.
-func (e *broadcast) add(other broadcast) {
+func (b *broadcast) add(other broadcast) {
 	if other.changes {
-		if !e.changes || other.after < e.after {
-			e.after = other.after
+		if !b.changes || other.after < b.after {
+			b.after = other.after
 		}
-		e.changes = true
+		b.changes = true
 	}
-	e.relay = append(e.relay, other.relay...)
+	b.relay = append(b.relay, other.relay...)
 }
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -8,7 +8,7 @@
 // that depends on its place in that order, so one steps in at a time.
 //
 // Instances exchange state in pairs, at random and mostly within their failure
-// domain, since bytes between domains cost more. A reader tells its own domain
-// and a few instances of each other domain of a change at once, and those tell
-// theirs. The instances that run are found from a few seeds that may be down.
+// domain, since bytes between domains cost more. The first reader tells a few
+// instances of its own domain and one of each other domain of a change at once,
+// and each of them tells its part of the rest. The instances that run are found from a few seeds that may be down.
 package fleet
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -17,19 +17,10 @@
 const (
 	// exchangeInterval is the time between exchanges that an instance starts.
 	exchangeInterval = 250 * time.Millisecond
-	// treeFanout is how many peers an instance tells of a change at once. Each of
-	// them tells its part of the others in turn, so every instance hears of a
-	// change once, and nobody has much to send.
-	treeFanout = 6
-	// remoteFanout is the same for each other failure domain, which bounds the bytes
-	// between domains.
-	remoteFanout = 1
 	// maxSearched bounds the peers that are searched at once.
 	maxSearched = 24
 	// seedRetry is the time between attempts to reach a seed while nothing is known.
 	seedRetry = 25 * time.Millisecond
-	// spreadDelay gathers changes that arrive together into one message.
-	spreadDelay = 30 * time.Millisecond
 	// nearPartners and farPartners bound the peers of the own and of the other
 	// failure domains with which an instance exchanges state regularly. Every
 	// connection costs memory; news still crosses the fleet in a number of rounds
@@ -86,12 +77,15 @@
 	if len(list) <= n {
 		return list
 	}
-	slices.SortFunc(list, func(a, b *peer) int {
-		return cmp.Compare(pairOrder(t.options.IP, a.IP), pairOrder(t.options.IP, b.IP))
-	})
+	slices.SortFunc(list, func(a, b *peer) int { return t.compare(a.IP, b.IP) })
 	return list[:n]
 }
 
+// compare puts two instances in this instance's own order.
+func (t *Task) compare(a, b netip.Addr) int {
+	return cmp.Compare(pairOrder(t.options.IP, a), pairOrder(t.options.IP, b))
+}
+
 // pairOrder is a hash of two instances.
 func pairOrder(a, b netip.Addr) uint64 {
 	first, second := a.As4(), b.As4()
@@ -133,98 +127,17 @@
 	t.contact(now, unknown[rand.IntN(len(unknown))], broadcast{})
 }
 
-// reach is how far a change is told.
-type reach int
-
-// Reaches, from the least.
-const (
-	aFew     reach = iota + 1 // some instances, which pass it on with their exchanges
-	inDomain                  // the own failure domain
-	inFleet                   // all failure domains
-)
-
-// spread tells peers of a change soon.
-func (t *Task) spread(r reach) {
-	t.reach = max(t.reach, r)
-	if t.spreading {
-		return
-	}
-	t.spreading = true
-	time.AfterFunc(spreadDelay, func() { t.loop.Post(t.spreadNow) })
-}
-
-func (t *Task) spreadNow(now time.Duration) {
-	reach := t.reach
-	t.spreading, t.reach = false, 0
-	if reach == aFew {
-		t.announce(now)
-		return
-	}
-	for domain, list := range t.liveByDomain(now) {
-		switch {
-		case domain == t.options.Domain:
-			t.tell(now, broadcast{changes: true, after: t.told, relay: list}, treeFanout)
-		case reach == inFleet:
-			t.tell(now, broadcast{changes: true, after: t.told, relay: list}, remoteFanout)
-		}
-	}
-	t.told = t.set.Revision()
-}
-
-// liveByDomain returns the live peers of each failure domain in this instance's
-// own order, so that it keeps to the same connections.
-func (t *Task) liveByDomain(now time.Duration) map[int][]netip.Addr {
-	domains := make(map[int][]netip.Addr)
-	for _, p := range t.roster.livePeers(now) {
-		domains[p.Domain] = append(domains[p.Domain], p.IP)
-	}
-	for _, list := range domains {
-		slices.SortFunc(list, func(a, b netip.Addr) int {
-			return cmp.Compare(pairOrder(t.options.IP, a), pairOrder(t.options.IP, b))
-		})
-	}
-	return domains
-}
-
-// announce tells a few peers of each failure domain of a change of this
-// instance. Others hear of it within some exchanges.
-func (t *Task) announce(now time.Duration) {
-	for domain, list := range t.liveByDomain(now) {
-		heads := remoteFanout
-		if domain == t.options.Domain {
-			heads = treeFanout
-		}
-		for _, ip := range list[:min(heads, len(list))] {
-			t.contact(now, ip, broadcast{})
-		}
-	}
-}
-
-// tell passes a broadcast on to the instances in relay: it contacts some of them, each
-// of which tells its part of the rest.
-func (t *Task) tell(now time.Duration, e broadcast, heads int) {
-	list := e.relay
-	heads = min(heads, len(list))
-	for i := range heads {
-		part := broadcast{changes: e.changes, after: e.after}
-		for j := i + heads; j < len(list); j += heads {
-			part.relay = append(part.relay, list[j])
-		}
-		t.contact(now, list[i], part)
-	}
-}
-
 // contact starts an exchange with a peer, or notes that another one is due when
 // one is under way. A peer that is not told of a change has most likely heard of
 // it; it asks when its revision is older than this instance's.
-func (t *Task) contact(now time.Duration, ip netip.Addr, e broadcast) {
+func (t *Task) contact(now time.Duration, ip netip.Addr, b broadcast) {
 	if t.busy[ip] {
 		due := t.again[ip]
 		if due == nil {
 			due = new(broadcast)
 			t.again[ip] = due
 		}
-		due.add(e)
+		due.add(b)
 		return
 	}
 	conn, err := t.clients.get(ip)
@@ -232,16 +145,16 @@
 		t.options.Log.Error("no client for a peer", "peer", ip.String(), "error", err.Error())
 		return
 	}
-	known := e.after
+	known := b.after
 	if p := t.roster.peers[ip]; p != nil {
 		known = max(known, p.revision)
 	}
-	state := t.state(now, ip, known, e.changes)
-	for _, other := range e.relay {
+	state := t.state(now, ip, known, b.changes)
+	for _, other := range b.relay {
 		state.Relay = append(state.Relay, numberOf(other))
 	}
 	t.busy[ip] = true
-	t.send(conn, state, func(now time.Duration, answer *peerapi.FleetState, err error) { t.exchanged(now, ip, e, answer, err) })
+	t.send(conn, state, func(now time.Duration, answer *peerapi.FleetState, err error) { t.exchanged(now, ip, b, answer, err) })
 }
 
 // send makes an exchange in a goroutine of its own; done runs in the task.
@@ -252,44 +165,17 @@
 	}()
 }
 
-// spreadUnlessTold spreads a change that the store told, unless the first reader
-// has it too: that one spreads it.
-func (t *Task) spreadUnlessTold(now time.Duration) {
-	first := t.roster.candidates(now)
-	if len(first) == 0 || first[0].self || !first[0].member.State.Has(Reading) {
-		t.spread(inFleet)
-		return
-	}
-	conn, err := t.clients.get(first[0].member.IP)
-	if err != nil {
-		t.options.Log.Error("no client for a peer", "peer", first[0].member.IP.String(), "error", err.Error())
-		t.spread(inFleet)
-		return
-	}
-	revision := t.set.Revision()
-	// The change itself is not sent: the first reader must have it from the store.
-	question := &peerapi.FleetState{Self: memberMessage(t.roster.self), Revision: revision}
-	t.send(conn, question, func(now time.Duration, answer *peerapi.FleetState, err error) {
-		if err == nil {
-			t.merge(now, answer)
-		}
-		if err != nil || answer.GetRevision() < revision {
-			t.spread(inFleet)
-		}
-	})
-}
-
 // exchanged takes the result of an exchange.
-func (t *Task) exchanged(now time.Duration, ip netip.Addr, e broadcast, answer *peerapi.FleetState, err error) {
+func (t *Task) exchanged(now time.Duration, ip netip.Addr, b broadcast, answer *peerapi.FleetState, err error) {
 	delete(t.busy, ip)
 	due := t.again[ip]
 	delete(t.again, ip)
 	if err != nil {
 		t.unanswered(now, ip, err)
 		if due != nil {
-			e.add(*due)
+			b.add(*due)
 		}
-		t.tell(now, e, treeFanout) // the peer tells nobody
+		t.tell(now, b, treeFanout) // the peer tells nobody
 		return
 	}
 	t.merge(now, answer)
@@ -353,7 +239,7 @@
 	sender := memberOf(s.GetSelf())
 	former := t.roster.peers[sender.IP]
 	stranger = former == nil || former.Incarnation != sender.Incarnation
-	if p := t.roster.peers[sender.IP]; p != nil && p.failures > 0 {
+	if former != nil && former.failures > 0 {
 		t.options.Log.Info("regained a peer", "peer", sender.IP.String())
 	}
 	t.roster.learn(now, sender, true)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -144,26 +144,19 @@
 }
 
 // livePeers returns the peers that are believed to run, by address.
-func (r *roster) livePeers(now time.Duration) []*peer {
-	list := make([]*peer, 0, len(r.peers))
-	for _, p := range r.peers {
-		if r.live(now, p) {
-			list = append(list, p)
-		}
-	}
-	sortPeers(list)
-	return list
-}
+func (r *roster) livePeers(now time.Duration) []*peer { return r.byLiveness(now, true) }
 
 // silentPeers returns the peers that are not believed to run, by address.
-func (r *roster) silentPeers(now time.Duration) []*peer {
-	var list []*peer
+func (r *roster) silentPeers(now time.Duration) []*peer { return r.byLiveness(now, false) }
+
+func (r *roster) byLiveness(now time.Duration, live bool) []*peer {
+	list := make([]*peer, 0, len(r.peers))
 	for _, p := range r.peers {
-		if !r.live(now, p) {
+		if r.live(now, p) == live {
 			list = append(list, p)
 		}
 	}
-	sortPeers(list)
+	slices.SortFunc(list, func(a, b *peer) int { return a.IP.Compare(b.IP) })
 	return list
 }
 
@@ -219,7 +212,3 @@
 		}
 	}
 }
-
-func sortPeers(list []*peer) {
-	slices.SortFunc(list, func(a, b *peer) int { return a.IP.Compare(b.IP) })
-}
--- a/internal/cli/address.go
+++ b/internal/cli/address.go
@@ -23,17 +23,10 @@
 func (f *addressFlags) add(command *cobra.Command) {
 	command.Flags().StringSliceVar(&f.admin, "admin", nil, "administration addresses to ask (IP:PORT,...)")
 	command.Flags().StringVar(&f.instancesURL, "instances-url", "", "URL of the platform's list of instances; asks every instance in it")
-	addSecurityFlags(command, &f.security)
+	f.security.AddFlags(command.Flags())
 	command.Flags().DurationVar(&f.timeout, "timeout", admin.DefaultTimeout, "longest time to wait for one instance")
 }
 
-// addSecurityFlags adds the flags of a fleet whose links are protected.
-func addSecurityFlags(command *cobra.Command, f *secure.Files) {
-	command.Flags().StringVar(&f.Certificate, "certificate", "", "certificate of this end, PEM; none: links are not protected")
-	command.Flags().StringVar(&f.Key, "key", "", "private key of the certificate, PEM")
-	command.Flags().StringVar(&f.Authority, "authority", "", "certificates that sign those of the instances, PEM")
-}
-
 // check refuses flags that name no instance or contradict each other.
 func (f *addressFlags) check() error {
 	if (len(f.admin) > 0) == (f.instancesURL != "") {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"crypto/tls"
 	"fmt"
 	"sync/atomic"
 
@@ -34,12 +33,8 @@
 	if err != nil {
 		return nil, err
 	}
-	var protection *tls.Config
-	if identity != nil {
-		protection = identity.Client()
-	}
 	total.Store(int64(len(addresses)))
-	client := admin.NewClient(admin.ClientOptions{Addresses: addresses, Timeout: flags.timeout, TLS: protection,
+	client := admin.NewClient(admin.ClientOptions{Addresses: addresses, Timeout: flags.timeout, TLS: identity.Client(),
 		Answered: func() { answered.Add(1) }})
 	defer client.Close()
 	ask(client)
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -35,9 +35,7 @@
 		RunE:          func(command *cobra.Command, _ []string) error { return flags.run(command.Context()) },
 	}
 	command.Flags().IntVar(&flags.metricsPort, "metrics-port", 0, "port that serves metrics on the caller address; 0: none")
-	command.Flags().StringVar(&flags.security.Certificate, "certificate", "", "certificate for links to other instances, PEM; none: links are not protected")
-	command.Flags().StringVar(&flags.security.Key, "key", "", "private key of the certificate, PEM")
-	command.Flags().StringVar(&flags.security.Authority, "authority", "", "certificates that sign those of the instances, PEM")
+	flags.security.AddFlags(command.Flags())
 	return command
 }
 
--- a/secure/files.go
+++ b/secure/files.go
@@ -15,6 +15,15 @@
 	Authority string `json:"authority_file,omitempty"`
 }
 
+// AddFlags adds flags for the files to a command's.
+func (f *Files) AddFlags(flags interface {
+	StringVar(p *string, name, value, usage string)
+}) {
+	flags.StringVar(&f.Certificate, "certificate", "", "certificate of this end, PEM; none: links are not protected")
+	flags.StringVar(&f.Key, "key", "", "private key of the certificate, PEM")
+	flags.StringVar(&f.Authority, "authority", "", "certificates that sign those of the instances, PEM")
+}
+
 // Empty reports whether no file is given.
 func (f Files) Empty() bool { return f == Files{} }
 
--- a/secure/identity.go
+++ b/secure/identity.go
@@ -81,8 +81,12 @@
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return i.present.Load().server, nil }}
 }
 
-// Client returns the configuration of a connecting end.
+// Client returns the configuration of a connecting end, nil for links that are
+// not protected.
 func (i *Identity) Client() *tls.Config {
+	if i == nil {
+		return nil
+	}
 	return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: ServerName,
 		ClientSessionCache: tls.NewLRUClientSessionCache(sessions),
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
