Block requests that take down several targets, over all instances

Cause: a request that crashes each target that runs it, sent again by its caller to any instance, was forwarded each time.

Now an instance whose answer breaks off asks the target 50 ms later whether it runs. If not, that is a strike against the request, identified by caller address, method, host, URI and body. Strikes go to all instances with the exchanges; from three targets on, the request is refused with 503 for five minutes. A completed run voids earlier strikes.

Ruled out: the leases of package poison. Each attempt of a suspect would wait for another instance, and 153 instances have no fixed coordinator. Counting each broken answer as a strike: reset connections and spoiled answers break off as well, and the targets go on running.

Tests without the bench: TestRequestThatCrashesTargetsIsBlocked and TestStrikesOfOthersCount fail without the check, TestBrokenConnectionIsNoCrash guards the other side.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -104,6 +105,12 @@
 	return near, far
 }
 
+// isFar reports whether a peer is in another failure domain, as far as known.
+func (t *Task) isFar(ip netip.Addr) bool {
+	p := t.roster.peers[ip]
+	return p != nil && p.Domain != t.options.Domain
+}
+
 // search contacts one seed or silent peer, or all seeds.
 func (t *Task) search(now time.Duration, all bool) {
 	var unknown []netip.Addr
@@ -215,6 +222,9 @@
 	for _, m := range t.roster.news(now, to) {
 		s.Members = append(s.Members, memberMessage(m))
 	}
+	for _, strike := range t.strikes.next(len(t.roster.peers), to, t.isFar(to)) {
+		s.Strikes = append(s.Strikes, strikeMessage(now, strike))
+	}
 	if !changes || known >= t.set.Revision() {
 		return s
 	}
@@ -256,6 +266,7 @@
 		t.options.Log.Warn("others say that this instance is down", "said_by", sender.IP.String())
 		t.spread(aFew)
 	}
+	t.mergeStrikes(now, s, sender.IP)
 	t.mergeRecords(now, s, sender.IP)
 	if relay := addressesOf(s.GetRelay()); len(relay) > 0 {
 		t.owed.add(broadcast{changes: s.GetHasChanges(), after: s.GetChangesAfter(), relay: relay})
@@ -268,6 +279,24 @@
 	return stranger
 }
 
+// mergeStrikes passes on the strikes that were not known.
+func (t *Task) mergeStrikes(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
+	var news []quarantine.Strike
+	for _, m := range s.GetStrikes() {
+		strike, err := strikeOf(now, m)
+		if err != nil {
+			t.options.Log.Warn("strike of a peer not readable", "peer", sender.String(), "error", err.Error())
+			continue
+		}
+		if t.strikes.add(strike, sender) {
+			news = append(news, strike)
+		}
+	}
+	if len(news) > 0 && t.options.OnStrikes != nil {
+		t.options.OnStrikes(news)
+	}
+}
+
 func (t *Task) mergeRecords(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
 	if s.GetRevision() <= t.set.Revision() {
 		return
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/fleet"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/records"
 	"github.com/dogwoodroute/dogwoodroute/secure"
 	"github.com/dogwoodroute/dogwoodroute/secure/securetest"
@@ -160,8 +162,9 @@
 
 type instance struct {
 	*fleet.Task
-	cancel context.CancelFunc
-	ended  chan struct{}
+	strikes atomic.Int64 // that peers told
+	cancel  context.CancelFunc
+	ended   chan struct{}
 }
 
 func newCluster(t *testing.T, domains int) *cluster {
@@ -199,7 +202,7 @@
 	i := &instance{ended: make(chan struct{})}
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
 		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
-		Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
+		Decoder: decoder{}, OnStrikes: func(list []quarantine.Strike) { i.strikes.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	go func() {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -6,11 +6,14 @@
 	"encoding/binary"
 	"io"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/poison"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -110,6 +113,20 @@
 	return list, nil
 }
 
+func strikeMessage(now time.Duration, s quarantine.Strike) *peerapi.FleetStrike {
+	return &peerapi.FleetStrike{Request: s.Request[:], Target: s.Target, AgeMs: uint32(max(0, now-s.At).Milliseconds()),
+		Completed: s.Completed}
+}
+
+func strikeOf(now time.Duration, m *peerapi.FleetStrike) (quarantine.Strike, error) {
+	s := quarantine.Strike{Target: m.GetTarget(), At: now - time.Duration(m.GetAgeMs())*time.Millisecond, Completed: m.GetCompleted()}
+	if len(m.GetRequest()) != len(s.Request) {
+		return s, errors.Errorf("fingerprint of %d bytes instead of %d", len(m.GetRequest()), len(s.Request))
+	}
+	s.Request = poison.Fingerprint(m.GetRequest())
+	return s, nil
+}
+
 func addressesOf(list []uint32) []netip.Addr {
 	addresses := make([]netip.Addr, len(list))
 	for i, number := range list {
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
@@ -34,4 +35,6 @@
 	Now func() time.Duration
 	// OnView, if set, is called by the task after each new view.
 	OnView func()
+	// OnStrikes, if set, is called by the task with strikes that peers tell.
+	OnStrikes func([]quarantine.Strike)
 }
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -165,7 +165,7 @@
 // told too seldom, and some of those that were heard last.
 func (r *roster) news(now time.Duration, to netip.Addr) []Member {
 	var about, readers, changed, others []*peer
-	enough := tellsAtLeast + tellsPerBit*bits.Len(uint(len(r.peers)))
+	enough := enoughTells(len(r.peers))
 	for _, p := range r.peers {
 		switch {
 		case p.IP == to:
@@ -193,6 +193,10 @@
 	return members
 }
 
+// enoughTells is how often an instance passes something on so that it reaches all
+// members.
+func enoughTells(members int) int { return tellsAtLeast + tellsPerBit*bits.Len(uint(members)) }
+
 // all returns the members that a new instance is told of.
 func (r *roster) all() []Member {
 	members := make([]Member, 0, min(maxIntroduced, len(r.peers)))
--- /dev/null
+++ b/fleet/strikes_test.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
+)
+
+// Guards against strikes that are never told since others go first, told without
+// end, or told again when they come back.
+func TestEachStrikeIsToldOftenEnough(t *testing.T) {
+	is := is.New(t)
+	const count, members = 3 * maxStrikesTold, 100
+	teller, peer := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	var s strikes
+	for n := range count {
+		is.True(s.add(quarantine.Strike{Target: uint64(n)}, teller))
+	}
+	told := make(map[uint64]int)
+	for range 3 * enoughTells(members) {
+		is.Equal(len(s.next(members, teller, false)), 0) // it knows them
+		list := s.next(members, peer, false)
+		is.True(len(list) <= maxStrikesTold)
+		for _, strike := range list {
+			told[strike.Target]++
+		}
+	}
+	is.Equal(len(told), count)
+	for _, n := range told {
+		is.Equal(n, enoughTells(members))
+	}
+	is.Equal(len(s.next(members, peer, false)), 0)
+	is.Equal(len(s.next(members, peer, true)), maxStrikesTold) // other domains are still told
+	is.True(!s.add(quarantine.Strike{Target: 1}, teller))
+	s.forget(strikeKept - time.Millisecond)
+	is.True(!s.add(quarantine.Strike{Target: 1}, teller))
+	s.forget(strikeKept)
+	is.True(s.add(quarantine.Strike{Target: 1}, teller))
+}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -58,6 +59,7 @@
 	told       uint64                    // revision of the last change that was spread
 	spreading  bool                      // peers are told of a change soon
 	reach      reach                     // which ones
+	strikes    strikes                   // what is told of requests that crash targets
 }
 
 // New returns a task that Run starts.
@@ -95,6 +97,14 @@
 	})
 }
 
+// TellStrike tells all instances what a run of a request showed.
+func (t *Task) TellStrike(s quarantine.Strike) {
+	t.loop.Post(func(time.Duration) {
+		t.strikes.add(s, netip.Addr{})
+		t.spread(aFew) // regular exchanges leave the failure domain every two seconds only
+	})
+}
+
 // Run serves peers and follows the store until the context ends.
 func (t *Task) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -139,6 +149,7 @@
 func (t *Task) tick(now time.Duration) {
 	t.roster.self.Heartbeat++
 	t.roster.forget(now)
+	t.strikes.forget(now)
 	if t.builder.Expire(now) {
 		t.publishView(now)
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -25,11 +25,12 @@
 	outcomeTargetError outcome = "target-error"     // the target's own failure
 	outcomeNoConfig    outcome = "no-configuration" // not run
 	outcomeNoRoute     outcome = "no-route"
-	outcomeNoTarget    outcome = "no-target" // not run
-	outcomeNoRoom      outcome = "no-room"   // not run
-	outcomeLate        outcome = "late"      // not run, no target could answer in time
-	outcomeBroken      outcome = "broken"    // may have run, the answer was lost or spoiled
-	outcomeTimeout     outcome = "timeout"   // may have run
+	outcomeNoTarget    outcome = "no-target"       // not run
+	outcomeNoRoom      outcome = "no-room"         // not run
+	outcomeLate        outcome = "late"            // not run, no target could answer in time
+	outcomeSuspect     outcome = "suspected-crash" // not run, it took down several targets
+	outcomeBroken      outcome = "broken"          // may have run, the answer was lost or spoiled
+	outcomeTimeout     outcome = "timeout"         // may have run
 	outcomeGone        outcome = "caller-gone"
 	outcomeBadRequest  outcome = "bad-request"
 	outcomeTooLarge    outcome = "too-large"
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/retry"
 )
 
@@ -26,18 +28,24 @@
 	probesPerTarget float64
 	log             *slog.Logger
 	shares          map[string]*retry.Share // by service
+	// book holds the strikes against requests; suspects is its size, for those
+	// that need not ask.
+	book     *quarantine.Book
+	suspects atomic.Int64
+	onStrike func(quarantine.Strike)
 }
 
 func newDesk(o Options) *desk {
 	return &desk{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
 		splitter: catalog.NewSplitter(o.Random.Float64), budget: o.Repeats, instances: o.Instances,
 		probesPerTarget: o.ProbesPerTarget, log: o.Log,
-		shares: make(map[string]*retry.Share)}
+		shares: make(map[string]*retry.Share), book: quarantine.NewBook(), onStrike: o.OnStrike}
 }
 
 func (d *desk) run(ctx context.Context) {
 	d.loop.Run(ctx, deskTick, func(now time.Duration) {
 		d.placer.SetProbeBound(now, d.probesPerTarget, d.instances())
+		d.suspects.Store(int64(d.book.Expire(now)))
 	})
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -62,6 +62,13 @@
 	if refused := x.readBody(); refused != nil {
 		return refused
 	}
+	left, err := x.blocked(x.caller.Context())
+	if err != nil {
+		return x.interrupted()
+	}
+	if left > 0 {
+		return notRun(outcomeSuspect, left)
+	}
 	service, known, err := g.desk.admit(x.caller.Context(), route)
 	if err != nil {
 		return x.interrupted()
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -97,11 +97,7 @@
 		return reports
 	}
 	for _, t := range targets {
-		path := "/"
-		if service, ok := x.view.Config.Services[t.Service]; ok && service.HealthPath != "" {
-			path = service.HealthPath
-		}
-		go x.gateway.probe(ctx, t, path, answers)
+		go x.gateway.probe(ctx, t, x.healthPath(t), answers)
 	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
@@ -120,6 +116,14 @@
 	return reports
 }
 
+// healthPath is the path at which a target tells its load.
+func (x *exchange) healthPath(t *catalog.Target) string {
+	if service, ok := x.view.Config.Services[t.Service]; ok && service.HealthPath != "" {
+		return service.HealthPath
+	}
+	return "/"
+}
+
 // probe asks one target for its load. It outlives the request that asked.
 func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, answers chan<- placement.Report) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/transport"
 )
 
@@ -69,6 +70,9 @@
 // SetBudget replaces the bounds of repeats.
 func (g *Gateway) SetBudget(b Budget) { g.desk.setBudget(b) }
 
+// LearnStrikes takes strikes that other instances tell.
+func (g *Gateway) LearnStrikes(list []quarantine.Strike) { g.desk.learn(list) }
+
 // Ready reports whether the gateway can serve callers.
 func (g *Gateway) Ready() bool {
 	view := g.options.View()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
 // Budget bounds repeats over all instances.
@@ -39,6 +40,9 @@
 	Log       *slog.Logger
 	Metrics   Metrics
 	Random    *rand.Rand
+	// OnStrike is called with what the run of a request shows, for the other
+	// instances. It must not block.
+	OnStrike func(quarantine.Strike)
 	// Now returns the time since the start of the process.
 	Now func() time.Duration
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -63,7 +63,7 @@
 			if f.outcome == attemptTimedOut || ctx.Err() != nil {
 				return r.expired()
 			}
-			if r.mayRepeat() {
+			if r.mayRepeat() && !r.suspected() {
 				r.choose(retrying)
 			} else if r.active == 0 && !r.choosing {
 				return r.conclude(nil)
@@ -135,8 +135,12 @@
 	a := f.attempt
 	a.ending, a.over = f.ending, true
 	r.gateway.options.Metrics.Attempt(string(a.outcome))
-	if a.outcome == attemptServed {
+	switch a.outcome {
+	case attemptServed:
+		r.completed(a.Target)
 		return a.answer
+	case attemptBroken:
+		r.checkCrash(r.ctx, a.Target, r.healthPath(a.Target))
 	}
 	if a.answer != nil && r.last == nil {
 		r.last = a.answer
@@ -167,6 +171,13 @@
 	return running < r.request.Route.MaxAttempts && len(r.attempts) < r.request.Route.MaxAttempts+maxRejections
 }
 
+// suspected reports whether the request took down several targets, the last of
+// them perhaps through another instance.
+func (r *race) suspected() bool {
+	left, err := r.blocked(r.ctx)
+	return err != nil || left > 0
+}
+
 // conclude returns the answer when no further attempt is made.
 func (r *race) conclude(refused *answer) *answer {
 	mayRun := r.sends(func(a *attempt) bool { return !a.outcome.safeToRepeat() }) > 0
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -22,6 +22,7 @@
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -146,6 +147,8 @@
 	server  *httptest.Server
 	view    atomic.Pointer[catalog.View]
 	targets []*target
+	// strikes receives what other instances are told.
+	strikes chan quarantine.Strike
 }
 
 func routes() []catalog.Route {
@@ -160,13 +163,13 @@
 }
 
 func start(t *testing.T, targets ...*target) *fixture {
-	f := &fixture{targets: targets}
+	f := &fixture{targets: targets, strikes: make(chan quarantine.Strike, 100)}
 	f.view.Store(&catalog.View{})
 	begin := time.Now()
 	f.gateway = gateway.New(gateway.Options{Dialect: dialect, FailureDomain: "z", View: f.view.Load,
 		Instances: func() int { return 1 }, Repeats: gateway.Budget{Ratio: 1, Window: time.Minute, Allowance: 1000, Fresh: true},
 		BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler), Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
-		Now: func() time.Duration { return time.Since(begin) }})
+		OnStrike: func(s quarantine.Strike) { f.strikes <- s }, Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.gateway.Run(ctx); close(ended) }()
--- /dev/null
+++ b/gateway/suspects.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/owner"
+	"github.com/dogwoodroute/dogwoodroute/poison"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
+)
+
+// crashCheckAfter is when a target that broke off is asked whether it runs. A
+// target that crashed stays away for some seconds; one whose connection was
+// reset, or that spoiled an answer, answers at once.
+const crashCheckAfter = 50 * time.Millisecond
+
+// fingerprint identifies requests of one caller with the same content.
+func (x *exchange) fingerprint() poison.Fingerprint {
+	host, _, err := net.SplitHostPort(x.caller.RemoteAddr)
+	if err != nil {
+		host = x.caller.RemoteAddr // still the same for each request of this caller
+	}
+	h := poison.NewHasher(host+" "+x.caller.Host, x.caller.Method, x.caller.RequestURI)
+	_, _ = h.Write(x.body) // never fails
+	return h.Sum()
+}
+
+// incarnationHash identifies a start of a target among all instances.
+func incarnationHash(t *catalog.Target) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(t.ID), uint64(t.Born)))
+}
+
+// blocked returns how long the request stays blocked, since it crashed targets.
+func (x *exchange) blocked(ctx context.Context) (time.Duration, error) {
+	d := x.gateway.desk
+	if d.suspects.Load() == 0 {
+		return 0, nil // the usual case needs no fingerprint
+	}
+	request := x.fingerprint()
+	return owner.Ask(ctx, d.loop, func(now time.Duration) time.Duration { return d.book.Blocked(now, request) })
+}
+
+// completed notes that a target completed the request.
+func (x *exchange) completed(t *catalog.Target) {
+	if d := x.gateway.desk; d.suspects.Load() > 0 {
+		d.completed(quarantine.Strike{Request: x.fingerprint(), Target: incarnationHash(t), At: x.gateway.options.Now(), Completed: true})
+	}
+}
+
+// checkCrash finds out whether the target that broke off is down, and if so
+// reports a strike against the request that it ran.
+func (x *exchange) checkCrash(ctx context.Context, t *catalog.Target, path string) {
+	g := x.gateway
+	s := quarantine.Strike{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
+	id := x.id
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		select {
+		case <-time.After(crashCheckAfter):
+		case <-g.desk.loop.Done():
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		if _, runs := g.probeOnce(ctx, t, path); !runs {
+			g.desk.strike(s, id, t.ID)
+		}
+	}()
+}
+
+// strike notes that a target went down under a request.
+func (d *desk) strike(s quarantine.Strike, id, target string) {
+	d.loop.Post(func(now time.Duration) {
+		count := d.book.Add(s)
+		d.suspects.Store(int64(d.book.Expire(now)))
+		d.log.Info("target went down under a request", "id", id, "fingerprint", s.Request.String(), "target", target,
+			"targets", count, "blocked_ms", d.book.Blocked(now, s.Request).Milliseconds())
+		d.onStrike(s)
+	})
+}
+
+// toldFrom is the number of strikes from which other instances are told that a
+// request was completed; most requests with one strike met a target that crashed
+// for another reason, and never come again.
+const toldFrom = 2
+
+func (d *desk) completed(s quarantine.Strike) {
+	d.loop.Post(func(time.Duration) {
+		if before := d.book.Strikes(s.Request); before > 0 {
+			d.book.Add(s)
+			d.log.Info("request with strikes completed", "fingerprint", s.Request.String(), "targets", before)
+			if before >= toldFrom {
+				d.onStrike(s)
+			}
+		}
+	})
+}
+
+// learn takes strikes that other instances tell.
+func (d *desk) learn(list []quarantine.Strike) {
+	d.loop.Post(func(now time.Duration) {
+		for _, s := range list {
+			before := d.book.Blocked(now, s.Request)
+			count := d.book.Add(s)
+			if left := d.book.Blocked(now, s.Request); (left > 0) != (before > 0) {
+				d.log.LogAttrs(context.Background(), slog.LevelWarn, "request crashes targets, peers say",
+					slog.String("fingerprint", s.Request.String()), slog.Int("targets", count), slog.Bool("blocked", left > 0),
+					slog.Int64("age_ms", (now-s.At).Milliseconds()))
+			}
+		}
+		d.suspects.Store(int64(d.book.Expire(now)))
+	})
+}
--- /dev/null
+++ b/gateway/suspects_test.go
@@ -0,0 +1,102 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
+)
+
+// crash ends the target while it runs a request with a certain body.
+func crash(s *target, c net.Conn, r *http.Request, body []byte) bool {
+	if string(body) != "crash" {
+		return run(s, c, r, body)
+	}
+	s.ran.Add(1)
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	return false
+}
+
+func (f *fixture) awaitStrike(t *testing.T) quarantine.Strike {
+	t.Helper()
+	select {
+	case s := <-f.strikes:
+		return s
+	case <-time.After(testTimeout):
+		t.Fatal("no strike is told")
+		return quarantine.Strike{}
+	}
+}
+
+// Guards against a request that takes down one target after the other when its
+// caller sends it again and again, and against others that suffer from it.
+func TestRequestThatCrashesTargetsIsBlocked(t *testing.T) {
+	is := is.New(t)
+	var targets []*target
+	for i := range 6 {
+		targets = append(targets, startTarget(t, "t"+strconv.Itoa(i), crash))
+	}
+	f := start(t, targets...)
+	for range 3 {
+		is.Equal(f.ask(t, "POST", "/unsafe/x", "crash").status, 502)
+		f.awaitStrike(t)
+	}
+	got := f.ask(t, "POST", "/unsafe/x", "crash")
+	is.Equal(got.status, 503)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 60)
+	is.Equal(f.total(), int64(3))
+	is.Equal(f.ask(t, "POST", "/unsafe/x", "another").status, 200)
+}
+
+// Guards against an instance that does not believe what others saw, and against
+// a block that a completed run should have prevented.
+func TestStrikesOfOthersCount(t *testing.T) {
+	for name, c := range map[string]struct {
+		completed bool
+		status    int
+	}{"crashes": {false, 503}, "completed between": {true, 200}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := startTarget(t, "a", crash), startTarget(t, "b", run)
+			f := start(t, a, b)
+			b.load.Store("2,0,4") // the first choice is a
+			is.Equal(f.ask(t, "POST", "/unsafe/x", "crash").status, 502)
+			first := f.awaitStrike(t)
+			second, third := first, first
+			second.Target, third.Target = first.Target+1, first.Target+2
+			second.At, third.At = first.At+1, first.At+3
+			list := []quarantine.Strike{second, third}
+			if c.completed {
+				list = append(list, quarantine.Strike{Request: first.Request, Target: 9, At: first.At + 2, Completed: true})
+			}
+			f.gateway.LearnStrikes(list)
+			is.Equal(f.ask(t, "POST", "/unsafe/x", "crash").status, c.status)
+		})
+	}
+}
+
+// Guards against a block of a request that met only broken connections: the
+// targets go on running.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	broken := func(s *target, _ net.Conn, _ *http.Request, _ []byte) bool { s.ran.Add(1); return false }
+	f := start(t, startTarget(t, "a", broken), startTarget(t, "b", broken), startTarget(t, "c", broken))
+	for range 2 {
+		is.Equal(f.ask(t, "GET", "/safe/x", "").status, 502)
+		time.Sleep(200 * time.Millisecond) // the checks of the targets are over
+	}
+	is.Equal(f.total(), int64(6))
+	is.Equal(len(f.strikes), 0)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 	"github.com/dogwoodroute/dogwoodroute/metrics"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
 // bodyShare is the part of the process's memory that callers' bodies may take.
@@ -51,7 +52,7 @@
 		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
 		Repeats: o.Settings.repeats(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		BodyBytes: int64(bodyShare * float64(o.Settings.MemoryBytes)),
-		Log:       o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
+		OnStrike:  n.fleet.TellStrike, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
 	if err := n.openServers(); err != nil {
 		return nil, err
 	}
@@ -88,7 +89,8 @@
 	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port(), validity: min(resolveValidity, s.Bounds.ResolveValidity)}
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
-		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: now, OnView: n.viewChanged})
+		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: now, OnView: n.viewChanged,
+		OnStrikes: func(list []quarantine.Strike) { n.gateway.LearnStrikes(list) }})
 	return nil
 }
 
