gateway: add the second target of TestStrikesOfOthersCount after the crash

It took for granted that the less loaded target gets the first request; the choice also depends on which reports arrive within the first milliseconds, so the sound target got it at times.

Ruled out: a fault of the gateway. The answer 200 came from the sound target.

Now the sound target is added after the strike. The checks are the same.

--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
@@ -69,11 +70,11 @@
 	}{"crashes": {false, 503}, "completed between": {true, 200}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a, b := startTarget(t, "a", crash), startTarget(t, "b", run)
-			f := start(t, a, b)
-			b.load.Store("2,0,4") // the first choice is a
+			f := start(t, startTarget(t, "a", crash))
 			is.Equal(f.ask(t, "POST", "/unsafe/x", "crash").status, 502)
 			first := f.awaitStrike(t)
+			f.targets = append(f.targets, startTarget(t, "b", run))
+			f.configure(catalog.Limits{})
 			second, third := first, first
 			second.Target, third.Target = first.Target+1, first.Target+2
 			second.At, third.At = first.At+1, first.At+3
