Serve sooner after a restart of the whole fleet, with fewer store calls

After the listing each went on to watch, since it knew no other reader yet, and callers in that time got 503.

Now instances that are no seed wait 25 ms longer than seeds (150 before). The first watch follows 0.6 s after the listing of a start; peers that read are known by then. A request that comes before the configuration waits for it, up to 0.25 s and 15% of the caller's time, since a refusal costs the caller a repeat and a new connection.

Ruled out: seeds that cannot keep up. They had the configuration 15 to 23 ms after they began to read.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -19,6 +19,10 @@
 	// gatherFor is the least time between two answers with changes, so that
 	// changes in quick succession cost one call. The first one is not delayed.
 	gatherFor = 150 * time.Millisecond
+	// introduction is the time from the listing at the start of the process to the
+	// first watch. By then an instance that others read for has heard of them and
+	// makes no further call, also when the whole fleet has restarted.
+	introduction = 600 * time.Millisecond
 	// listTimeout bounds a full listing.
 	listTimeout = 3 * time.Second
 	// firstBackoff and maxBackoff bound the time between failed calls, so that
@@ -53,6 +57,7 @@
 
 func (r *reader) run(ctx context.Context) {
 	pauses := backoff.Backoff{Min: firstBackoff, Max: maxBackoff}
+	cold := r.revision == 0
 	for ctx.Err() == nil {
 		report := r.step(ctx)
 		if ctx.Err() != nil {
@@ -61,9 +66,13 @@
 		r.deliver(report)
 		if report.err == nil {
 			pauses.Reset()
-			if len(report.listing.Records) > 0 {
+			switch {
+			case cold:
+				backoff.Sleep(ctx, introduction)
+			case len(report.listing.Records) > 0:
 				backoff.Sleep(ctx, gatherFor)
 			}
+			cold = false
 			continue
 		}
 		r.source.Reset()
--- /dev/null
+++ b/fleet/reader_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
+)
+
+// countedSource answers at once and counts calls.
+type countedSource struct{ lists, watches atomic.Int64 }
+
+func (s *countedSource) List(context.Context) (Listing, error) {
+	s.lists.Add(1)
+	return Listing{Records: []records.Record{{Key: "k", Revision: 7}}, Revision: 7}, nil
+}
+
+func (s *countedSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	s.watches.Add(1)
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return Listing{Revision: after}, ctx.Err()
+}
+
+func (s *countedSource) Reset() {}
+
+// Guards against a fleet that restarts and watches the store with every
+// instance: that took 984 calls with 219 instances, which hear of the readers
+// some hundred milliseconds after their start.
+func TestFirstWatchWaitsForPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &countedSource{}
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, deliver: func(readReport) {}}
+		go r.run(ctx)
+		time.Sleep(introduction - time.Millisecond)
+		synctest.Wait()
+		is.Equal(source.lists.Load(), int64(1))
+		is.Equal(source.watches.Load(), int64(0)) // the task may still end it without another call
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		is.True(source.watches.Load() > 0) // a reader that is needed goes on
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a reader that takes over late: it has records already.
+func TestWatchOfARunningInstanceStartsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &countedSource{}
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, deliver: func(readReport) {}, revision: 7}
+		go r.run(ctx)
+		synctest.Wait()
+		is.Equal(source.watches.Load(), int64(2)) // the first one does not wait
+		cancel()
+	})
+}
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -25,8 +25,9 @@
 	startDelay  = 25 * time.Millisecond
 	startSpread = 30 * time.Millisecond
 	// otherDelay is added for instances that are no seed: the seeds read first and
-	// tell the others, so that a restart of the fleet costs few calls.
-	otherDelay = 150 * time.Millisecond
+	// tell the others, so that a restart of the fleet costs few calls. It is short,
+	// since the seeds may be the last to start while callers wait everywhere.
+	otherDelay = 25 * time.Millisecond
 	// firstStartDelay and firstOtherDelay are the same for the first start of the
 	// fleet, when there are no callers yet.
 	firstStartDelay = 350 * time.Millisecond
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -19,6 +19,12 @@
 	// coldRetryAfter is when a caller should come back to an instance that has
 	// just started: peers or the store answer within a fraction of a second.
 	coldRetryAfter = 300 * time.Millisecond
+	// defaultColdHold is Options.ColdHold. An instance has a configuration 0.06 to
+	// 0.31 s after its start when 169 start together.
+	defaultColdHold = 250 * time.Millisecond
+	// coldHoldShare is the part of the caller's time that waiting for the first
+	// configuration may take at most, so that enough is left to be served.
+	coldHoldShare = 0.15
 )
 
 // exchange is one request of a caller. Its own goroutine owns it.
@@ -46,6 +52,9 @@
 func (x *exchange) serve() *answer {
 	g := x.gateway
 	x.view = g.options.View()
+	if x.view.Config == nil {
+		x.awaitConfig()
+	}
 	if x.view.Config == nil {
 		return notRun(outcomeNoConfig, coldRetryAfter)
 	}
@@ -82,13 +91,41 @@
 	return x.run(ctx)
 }
 
+// awaitConfig holds a request that came before the configuration was known. A
+// refusal would cost the caller a repeat and a new connection.
+func (x *exchange) awaitConfig() {
+	hold := x.gateway.options.ColdHold
+	if hold == 0 {
+		hold = defaultColdHold
+	}
+	if patience, stated := x.statedPatience(); stated {
+		hold = min(hold, time.Duration(coldHoldShare*float64(patience)))
+	}
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	select {
+	case <-x.gateway.configured:
+	case <-timer.C:
+	case <-x.caller.Context().Done():
+	}
+	x.view = x.gateway.options.View()
+}
+
+// statedPatience returns how long the caller says that it waits.
+func (x *exchange) statedPatience() (patience time.Duration, stated bool) {
+	ms, err := strconv.ParseFloat(x.caller.Header.Get(x.gateway.options.Dialect.Deadline), 64)
+	if err != nil || ms < 0 || ms >= 1e9 {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
 // setDeadline derives the times of the request from the caller's deadline and
 // the route's time-out.
 func (x *exchange) setDeadline(route *catalog.Route) {
-	patience := time.Duration(math.MaxInt64)
-	if ms, err := strconv.ParseFloat(x.caller.Header.Get(x.gateway.options.Dialect.Deadline), 64); err == nil &&
-		ms >= 0 && ms < 1e9 {
-		patience = time.Duration(ms * float64(time.Millisecond))
+	patience, stated := x.statedPatience()
+	if !stated {
+		patience = math.MaxInt64
 	}
 	if route.Timeout > 0 {
 		patience = min(patience, route.Timeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,11 +35,14 @@
 	limits   sync.Map     // address to connection limit
 	probes   atomic.Uint64
 	inFlight atomic.Int64
+	// configured is closed once a configuration is known.
+	configured chan struct{}
+	once       sync.Once
 }
 
 // New returns a gateway. Run must be called for it to decide anything.
 func New(o Options) *Gateway {
-	g := &Gateway{options: o, desk: newDesk(o)}
+	g := &Gateway{options: o, desk: newDesk(o), configured: make(chan struct{})}
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
 		Limit: g.connections})
 	return g
@@ -65,6 +68,9 @@
 		}
 	}
 	g.desk.setTargets(view.Targets)
+	if view.Config != nil {
+		g.once.Do(func() { close(g.configured) })
+	}
 }
 
 // SetBudget replaces the bounds of repeats.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -21,7 +21,7 @@
 	Fresh bool
 }
 
-// Options configure a Gateway. All fields are required.
+// Options configure a Gateway. All fields without a default are required.
 type Options struct {
 	Dialect Dialect
 	// FailureDomain is this instance's.
@@ -37,9 +37,12 @@
 	ProbesPerTarget float64
 	// BodyBytes bounds the bodies that are held in memory at a time.
 	BodyBytes int64
-	Log       *slog.Logger
-	Metrics   Metrics
-	Random    *rand.Rand
+	// ColdHold is how long a request waits for the first configuration after the
+	// start before it is refused. Default 250 ms.
+	ColdHold time.Duration
+	Log      *slog.Logger
+	Metrics  Metrics
+	Random   *rand.Rand
 	// OnStrike is called with what the run of a request shows, for the other
 	// instances. It must not block.
 	OnStrike func(quarantine.Strike)
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -280,3 +280,22 @@
 	is.True(!f.gateway.Ready())
 	is.Equal(f.ask(t, "POST", "/unsafe/x", "").status, 200)
 }
+
+// Guards against a refusal of a request that arrives just before the instance
+// knows the configuration.
+func TestRequestBeforeTheConfigurationIsHeld(t *testing.T) {
+	is := is.New(t)
+	f := startCold(t, startTarget(t, "a", run))
+	time.AfterFunc(20*time.Millisecond, func() { f.configure(catalog.Limits{}) })
+	is.Equal(f.ask(t, "POST", "/unsafe/x", "", "Deadline-Ms", "600000").status, 200)
+}
+
+// Guards against a request that waits for a configuration for most of the time
+// that its caller has.
+func TestRequestWithoutConfigurationIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	f := startCold(t)
+	got := f.ask(t, "GET", "/safe/x", "", "Deadline-Ms", "40")
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+}
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -163,12 +163,19 @@
 }
 
 func start(t *testing.T, targets ...*target) *fixture {
+	f := startCold(t, targets...)
+	f.configure(catalog.Limits{})
+	return f
+}
+
+// startCold starts a gateway that knows no configuration.
+func startCold(t *testing.T, targets ...*target) *fixture {
 	f := &fixture{targets: targets, strikes: make(chan quarantine.Strike, 100)}
 	f.view.Store(&catalog.View{})
 	begin := time.Now()
 	f.gateway = gateway.New(gateway.Options{Dialect: dialect, FailureDomain: "z", View: f.view.Load,
 		Instances: func() int { return 1 }, Repeats: gateway.Budget{Ratio: 1, Window: time.Minute, Allowance: 1000, Fresh: true},
-		BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler), Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
+		BodyBytes: 1 << 20, ColdHold: testTimeout, Log: slog.New(slog.DiscardHandler), Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
 		OnStrike: func(s quarantine.Strike) { f.strikes <- s }, Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -180,7 +187,6 @@
 		cancel()
 		<-ended
 	})
-	f.configure(catalog.Limits{})
 	return f
 }
 
