--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"log/slog"
 	"net"
 	"time"
 
@@ -109,9 +108,8 @@
 			before := d.book.Blocked(now, s.Request)
 			count := d.book.Add(s)
 			if left := d.book.Blocked(now, s.Request); (left > 0) != (before > 0) {
-				d.log.LogAttrs(context.Background(), slog.LevelWarn, "request crashes targets, peers say",
-					slog.String("fingerprint", s.Request.String()), slog.Int("targets", count), slog.Bool("blocked", left > 0),
-					slog.Int64("age_ms", (now-s.At).Milliseconds()))
+				d.log.Warn("request crashes targets, peers say", "fingerprint", s.Request.String(), "targets", count,
+					"blocked_ms", left.Milliseconds(), "age_ms", (now - s.At).Milliseconds())
 			}
 		}
 		d.suspects.Store(int64(d.book.Expire(now)))
