Hash a request once, and share what probes, strikes and exchanges repeat

Found when the whole change was read again; no behaviour changes.

- The fingerprint of a request, which reads its whole body, was computed again at each repeat and at the end.
It is kept with the request.
- probe and checkCrash each set up the time-out of a probe. probeOnce does it now, checkCrash sleeps with backoff.Sleep instead of a select of its own, and takes the path and the context from its request.
- mergeRecords asked for a peer's failure domain in words of its own; it calls isFar.
- The size of the book of strikes is stored in one place.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -320,7 +320,7 @@
 		return
 	}
 	t.apply(now, news)
-	if p := t.roster.peers[sender]; len(s.GetRelay()) == 0 && p != nil && p.Domain != t.options.Domain {
+	if len(s.GetRelay()) == 0 && t.isFar(sender) {
 		t.spread(inDomain) // nobody has told this domain, or it was missed
 	}
 }
--- a/fleet/strikes.go
+++ b/fleet/strikes.go
@@ -67,22 +67,23 @@
 // the least told first, and counts them as told. Within the failure domain each
 // is told as often as a changed member.
 func (s *strikes) next(members int, to netip.Addr, far bool) []quarantine.Strike {
-	if len(s.list) == 0 {
-		return nil
-	}
 	count, enough := func(t *toldStrike) *int { return &t.near }, enoughTells(members)
 	if far {
 		count, enough = func(t *toldStrike) *int { return &t.far }, farStrikeTells
 	}
-	due := slices.Clone(s.list)
-	slices.SortStableFunc(due, func(a, b *toldStrike) int { return cmp.Compare(*count(a), *count(b)) })
-	var list []quarantine.Strike
-	for _, t := range due {
-		if len(list) < maxStrikesTold && *count(t) < enough && t.from != to {
-			*count(t)++
-			list = append(list, t.Strike)
+	var due []*toldStrike
+	for _, t := range s.list {
+		if *count(t) < enough && t.from != to {
+			due = append(due, t)
 		}
 	}
+	slices.SortStableFunc(due, func(a, b *toldStrike) int { return cmp.Compare(*count(a), *count(b)) })
+	due = due[:min(maxStrikesTold, len(due))]
+	list := make([]quarantine.Strike, len(due))
+	for n, t := range due {
+		*count(t)++
+		list[n] = t.Strike
+	}
 	return list
 }
 
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -46,7 +46,7 @@
 func (d *desk) run(ctx context.Context) {
 	d.loop.Run(ctx, deskTick, func(now time.Duration) {
 		d.placer.SetProbeBound(now, d.probesPerTarget, d.instances())
-		d.suspects.Store(int64(d.book.Expire(now)))
+		d.expireStrikes(now)
 	})
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/poison"
 )
 
 const (
@@ -44,6 +45,9 @@
 	writeErr   error
 	// surveyed are the load reports of the last search that found no target.
 	surveyed []placement.Report
+	// content is the request's fingerprint once identified is set.
+	content    poison.Fingerprint
+	identified bool
 	// limit is when the request gets its final answer.
 	limit time.Duration
 }
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -124,10 +124,8 @@
 	return "/"
 }
 
-// probe asks one target for its load. It outlives the request that asked.
+// probe asks one target for its load.
 func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, answers chan<- placement.Report) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
 	report, ok := g.probeOnce(ctx, t, path)
 	g.desk.probed(t.Incarnation(), report, ok)
 	select {
@@ -136,7 +134,10 @@
 	}
 }
 
+// probeOnce sends a probe. It outlives the request that asked.
 func (g *Gateway) probeOnce(ctx context.Context, t *catalog.Target, path string) (placement.Report, bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
 	d := &g.options.Dialect
 	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
 	response, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -140,7 +140,7 @@
 		r.completed(a.Target)
 		return a.answer
 	case attemptBroken:
-		r.checkCrash(r.ctx, a.Target, r.healthPath(a.Target))
+		r.checkCrash(a.Target)
 	}
 	if a.answer != nil && r.last == nil {
 		r.last = a.answer
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/poison"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
@@ -19,15 +20,20 @@
 // reset, or that spoiled an answer, answers at once.
 const crashCheckAfter = 50 * time.Millisecond
 
-// fingerprint identifies requests of one caller with the same content.
+// fingerprint identifies requests of one caller with the same content. It is
+// computed once, since it reads the whole body.
 func (x *exchange) fingerprint() poison.Fingerprint {
+	if x.identified {
+		return x.content
+	}
 	host, _, err := net.SplitHostPort(x.caller.RemoteAddr)
 	if err != nil {
 		host = x.caller.RemoteAddr // still the same for each request of this caller
 	}
 	h := poison.NewHasher(host+" "+x.caller.Host, x.caller.Method, x.caller.RequestURI)
 	_, _ = h.Write(x.body) // never fails
-	return h.Sum()
+	x.content, x.identified = h.Sum(), true
+	return x.content
 }
 
 // incarnationHash identifies a start of a target among all instances.
@@ -54,19 +60,12 @@
 
 // checkCrash finds out whether the target that broke off is down, and if so
 // reports a strike against the request that it ran.
-func (x *exchange) checkCrash(ctx context.Context, t *catalog.Target, path string) {
+func (x *exchange) checkCrash(t *catalog.Target) {
 	g := x.gateway
 	s := quarantine.Strike{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
-	id := x.id
-	ctx = context.WithoutCancel(ctx)
+	ctx, id, path := context.WithoutCancel(x.caller.Context()), x.id, x.healthPath(t)
 	go func() {
-		select {
-		case <-time.After(crashCheckAfter):
-		case <-g.desk.loop.Done():
-			return
-		}
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
+		backoff.Sleep(ctx, crashCheckAfter)
 		if _, runs := g.probeOnce(ctx, t, path); !runs {
 			g.desk.strike(s, id, t.ID)
 		}
@@ -77,13 +76,16 @@
 func (d *desk) strike(s quarantine.Strike, id, target string) {
 	d.loop.Post(func(now time.Duration) {
 		count := d.book.Add(s)
-		d.suspects.Store(int64(d.book.Expire(now)))
+		d.expireStrikes(now)
 		d.log.Info("target went down under a request", "id", id, "fingerprint", s.Request.String(), "target", target,
 			"targets", count, "blocked_ms", d.book.Blocked(now, s.Request).Milliseconds())
 		d.onStrike(s)
 	})
 }
 
+// expireStrikes forgets old strikes and counts the requests that have some.
+func (d *desk) expireStrikes(now time.Duration) { d.suspects.Store(int64(d.book.Expire(now))) }
+
 // toldFrom is the number of strikes from which other instances are told that a
 // request was completed; most requests with one strike met a target that crashed
 // for another reason, and never come again.
@@ -112,6 +114,6 @@
 					"blocked_ms", left.Milliseconds(), "age_ms", (now - s.At).Milliseconds())
 			}
 		}
-		d.suspects.Store(int64(d.book.Expire(now)))
+		d.expireStrikes(now)
 	})
 }
