placement: end an overload with its cause

Of the sends of setpoint-acts from 0 to 14 s half had a report of more than a second, and took 913 ms in the median where 210 are usual. The state outlived both bursts.

Changes: - Without probes the load of a target is predicted from its last report and the mean of its service; a target that is probably full gets nothing. - A request waits only while the requests that wait already leave room for it, for half of its slack, and never for room that comes after its deadline. - Requests of an instance share reports of up to 10 ms; those that wait leave half of the probe budget to those that arrive. - The bucket of probes starts nearly empty, holds two seconds, and follows the number of instances at once; no instance takes more than a quarter of the limit, since it may not know the others. - The slowdown by occupied slots is learned for each service, and with it the saturation point, in place of a fixed 0.8 with a learned slowdown above it. - A late request no longer uses the slots above the saturation point, urgent or not.

--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -92,9 +92,20 @@
 	return service, hasTargets, err
 }
 
-// sampleTargets returns targets to probe, in this failure domain or in others.
-func (s *scheduler) sampleTargets(ctx context.Context, r *placement.Request, remote bool) ([]*catalog.Target, error) {
-	return owner.Call(ctx, s.loop, func(now time.Duration) []*catalog.Target { return s.placer.Sample(now, r, remote) })
+// sample is the result of placement.Placer.Sample.
+type sample struct {
+	targets []*catalog.Target
+	fresh   []placement.Report
+}
+
+// sampleTargets returns targets to probe, in this failure domain or in others, and
+// fresh reports of others. waiting is true for a request that has found no room.
+func (s *scheduler) sampleTargets(ctx context.Context, r *placement.Request, remote, waiting bool) (sample, error) {
+	return owner.Call(ctx, s.loop, func(now time.Duration) sample {
+		s.placer.SetProbeLimit(now, s.probesPerTarget, s.instances())
+		targets, fresh := s.placer.Sample(now, r, remote, waiting)
+		return sample{targets: targets, fresh: fresh}
+	})
 }
 
 // recordProbe records whether a target answered a probe and, if so, its report.
@@ -109,10 +120,10 @@
 	})
 }
 
-// cachedReports returns the last known reports of a few targets, for a choice without
-// probes.
-func (s *scheduler) cachedReports(ctx context.Context, r *placement.Request) ([]placement.Report, error) {
-	return owner.Call(ctx, s.loop, func(now time.Duration) []placement.Report { return s.placer.CachedReports(now, r) })
+// predictedReports returns the probable load of the service's targets, for a choice
+// without probes.
+func (s *scheduler) predictedReports(ctx context.Context, r *placement.Request) ([]placement.Report, error) {
+	return owner.Call(ctx, s.loop, func(now time.Duration) []placement.Report { return s.placer.PredictedReports(now, r) })
 }
 
 // sufficient reports whether a reported target is good enough that no others need to be
@@ -198,3 +209,14 @@
 	})
 	return maxWait, retryAfter, err
 }
+
+// startWaiting reports whether a request that found no capacity may wait for it. If
+// so, stopWaiting must be called.
+func (s *scheduler) startWaiting(ctx context.Context, r *placement.Request) (bool, error) {
+	return owner.Call(ctx, s.loop, func(now time.Duration) bool { return s.placer.StartWaiting(now, r) })
+}
+
+// stopWaiting records that a request no longer waits for capacity.
+func (s *scheduler) stopWaiting(r *placement.Request) {
+	s.loop.Post(func(time.Duration) { s.placer.StopWaiting(r) })
+}
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -38,16 +38,23 @@
 }
 
 // selectTarget probes targets until one can take the request or the request has
-// waited for the maximum time. Only a first send waits; a retry or hedge is refused
-// if no target can take it now.
+// waited for the maximum time. Only a first send waits, and only if those that wait
+// already leave room for it; a retry or hedge is refused if no target can take it
+// now.
 func (x *exchange) selectTarget(ctx context.Context, r *placement.Request, p purpose) selection {
 	g := x.gateway
 	maxWait, retryAfter, err := g.scheduler.waitLimits(ctx, r)
 	if err != nil {
 		return selection{refusal: x.stoppedRefusal()}
 	}
+	waiting := false
+	defer func() {
+		if waiting {
+			g.scheduler.stopWaiting(r)
+		}
+	}()
 	for pause := initialPause; ; pause = min(2*pause, maxPause) {
-		reports, err := x.collectReports(ctx, r)
+		reports, err := x.collectReports(ctx, r, waiting)
 		if err != nil {
 			return selection{refusal: x.stoppedRefusal()}
 		}
@@ -58,9 +65,14 @@
 		if reserved.ok {
 			return selection{reservation: reserved}
 		}
-		now := g.options.Now()
-		if p != firstSend || now+pause-r.Arrived > maxWait || now+pause > r.Deadline {
-			return selection{refusal: newRefusal(outcomeNoRoom, retryAfter), reports: reports}
+		noRoom := selection{refusal: newRefusal(outcomeNoRoom, retryAfter), reports: reports}
+		if p != firstSend || g.options.Now()+pause-r.Arrived > maxWait {
+			return noRoom
+		}
+		if !waiting {
+			if waiting, err = g.scheduler.startWaiting(ctx, r); err != nil || !waiting {
+				return noRoom
+			}
 		}
 		backoff.Sleep(ctx, pause)
 	}
@@ -69,27 +81,28 @@
 func (x *exchange) stoppedRefusal() *response { return newRefusal(outcomeStopped, defaultRetryAfter) }
 
 // collectReports probes targets of this failure domain and, unless one of them is
-// good, of others. It returns cached reports if the probe budget allows no probe.
-func (x *exchange) collectReports(ctx context.Context, r *placement.Request) ([]placement.Report, error) {
+// good, of others. It returns predicted reports if the probe budget allows no probe.
+func (x *exchange) collectReports(ctx context.Context, r *placement.Request, waiting bool) ([]placement.Report, error) {
 	g := x.gateway
-	local, err := g.scheduler.sampleTargets(ctx, r, false)
+	local, err := g.scheduler.sampleTargets(ctx, r, false, waiting)
 	if err != nil {
 		return nil, err
 	}
 	received := make(chan placement.Report, 16)
-	reports := x.probeAll(ctx, local, received, nil, g.options.LocalReportWait)
+	reports := x.probeAll(ctx, local.targets, received, local.fresh, g.options.LocalReportWait)
 	good, err := g.scheduler.sufficient(ctx, r, reports)
 	if err != nil || good {
 		return reports, err
 	}
-	remote, err := g.scheduler.sampleTargets(ctx, r, true)
+	remote, err := g.scheduler.sampleTargets(ctx, r, true, waiting)
 	if err != nil {
 		return nil, err
 	}
-	if len(local)+len(remote) == 0 {
-		return g.scheduler.cachedReports(ctx, r)
+	reports = x.probeAll(ctx, remote.targets, received, append(reports, remote.fresh...), g.options.RemoteReportWait)
+	if len(reports)+len(local.targets)+len(remote.targets) == 0 {
+		return g.scheduler.predictedReports(ctx, r)
 	}
-	return x.probeAll(ctx, remote, received, reports, g.options.RemoteReportWait), nil
+	return reports, nil
 }
 
 // probeAll probes targets and returns reports with those added that arrive within
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -28,7 +28,8 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		reports = reports[:0]
-		for i, t := range p.Sample(0, r, false) {
+		sample, _ := p.Sample(0, r, false, false)
+		for i, t := range sample {
 			reports = append(reports, report(t, i%4, 0, 1))
 		}
 		_ = p.HasGoodTarget(0, r, reports)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -15,9 +15,22 @@
 	// callerRoundTrip is the network time between caller and instance. It counts
 	// towards the route's objective.
 	callerRoundTrip = 6 * time.Millisecond
-	// lateWaitShare is how long a request waits for room once its objective cannot
-	// be met any more, as a share of the objective.
+	// explorationShare is the share of the requests that are not urgent and may use
+	// slots above the saturation point, by which the point is learned.
+	explorationShare = 0.02
+	// slackShare is the part of the time in which a request can still meet its
+	// objective that it may wait. Requests that wait longer take the room from later
+	// ones and then are late themselves on a target that is slower than expected.
+	slackShare = 0.5
+	// lateWaitShare is how long a request waits for room if its objective cannot be
+	// met, as a share of the objective.
 	lateWaitShare = 0.3
+	// lastStartMargin is the time before the deadline until which a request may wait,
+	// as a multiple of its mean work. A later start would rarely end in time.
+	lastStartMargin = 1.5
+	// maxWaitShare is the part of the time until its deadline that a request may wait,
+	// so that a refused caller has time to try again.
+	maxWaitShare = 0.5
 )
 
 // Requirement is the condition that a target must meet to be chosen. All of
@@ -53,6 +66,8 @@
 	// choice. Both are for the log.
 	Load Load
 	Age  time.Duration
+	// occupiedShare and machineSlowdown are those of the estimate.
+	occupiedShare, machineSlowdown float64
 }
 
 // HasGoodTarget reports whether one of the reports comes from a target that is
@@ -86,16 +101,16 @@
 }
 
 // satisfies reports whether the target meets the requirement and is expected to
-// respond before the deadline.
-func (e *estimate) satisfies(now time.Duration, r *Request, requirement Requirement) bool {
+// respond before the deadline. above allows slots above the saturation point.
+func (e *estimate) satisfies(now time.Duration, r *Request, requirement Requirement, above bool) bool {
 	if now+e.duration > r.Deadline {
 		return false
 	}
-	// Requests that are not urgent stay below the saturation point, also when they
-	// are late: above it they would slow down requests that can still meet their
+	// Requests that are not urgent stay below the saturation point, and so do late
+	// ones: above it they would slow down requests that can still meet their
 	// objective, and a load peak would not end.
 	limit := e.saturation
-	if r.Urgent() {
+	if above {
 		limit = e.slots
 	}
 	switch requirement {
@@ -104,7 +119,7 @@
 	case RequireObjective:
 		return e.occupied <= limit && now+e.duration+callerRoundTrip <= r.Arrived+r.objective()
 	default:
-		return e.occupied <= limit
+		return e.occupied <= e.saturation
 	}
 }
 
@@ -112,6 +127,7 @@
 // and satisfy the requirement. It reports false when there is none.
 func (p *Placer) Choose(now time.Duration, r *Request, reports []Report, requirement Requirement) (Choice, bool) {
 	w := p.workOf(r.Route)
+	above := r.Urgent() || p.random.Float64() < explorationShare
 	var best estimate
 	found := false
 	for _, report := range reports {
@@ -120,7 +136,7 @@
 			continue // removed since the report
 		}
 		e := p.estimate(now, report, t, w.mean)
-		if e.satisfies(now, r, requirement) && (!found || e.cost(now) < best.cost(now)) {
+		if e.satisfies(now, r, requirement, above) && (!found || e.cost(now) < best.cost(now)) {
 			best, found = e, true
 		}
 	}
@@ -128,7 +144,8 @@
 		return Choice{}, false
 	}
 	return Choice{Target: best.target.Target, Slowdown: best.slowdown, Expected: best.duration, AboveSaturation: best.occupied > best.saturation,
-		HedgeAfter: p.hedgeAfter(now, r, w, best), Load: best.report.Load, Age: now - best.report.At}, true
+		HedgeAfter: p.hedgeAfter(now, r, w, best), Load: best.report.Load, Age: now - best.report.At,
+		occupiedShare: best.occupiedShare(), machineSlowdown: best.machineSlowdown}, true
 }
 
 // hedgeAfter returns the time after the send at which the request is an outlier
@@ -154,10 +171,17 @@
 )
 
 // MaxWait returns how long after its arrival a request may wait for room before
-// it is refused: as long as it can meet its objective, plus lateWaitShare.
+// it is refused: slackShare of the time in which it can still meet its objective, or
+// lateWaitShare of the objective if that cannot be met at all. It never waits for room that would
+// come too late for its deadline.
 func (p *Placer) MaxWait(r *Request) time.Duration {
-	waitWithinObjective := r.objective() - p.workOf(r.Route).mean - callerRoundTrip
-	return max(0, waitWithinObjective) + scale(r.objective(), lateWaitShare)
+	mean := p.workOf(r.Route).mean
+	useful := r.Deadline - r.Arrived - scale(mean, lastStartMargin)
+	wait := scale(r.objective()-mean-callerRoundTrip, slackShare)
+	if wait <= 0 {
+		wait = scale(r.objective(), lateWaitShare)
+	}
+	return max(0, min(wait, useful, scale(r.Deadline-r.Arrived, maxWaitShare)))
 }
 
 // rejectedRetryDelay is the mean Retry-After time when targets rejected a request
@@ -166,8 +190,9 @@
 
 // RetryAfter returns the time after which a refused caller should retry. The mean
 // is rejectedRetryDelay after a rejection by targets, otherwise the route's mean
-// work, in which targets complete what they run. It is randomized between half
-// and one and a half of the mean, so that callers do not retry all at once.
+// work, in which targets complete what they run; a caller that returns later could
+// no longer be served within the objective. It is randomized between half and one
+// and a half of the mean, so that callers do not retry all at once.
 func (p *Placer) RetryAfter(r *Request, rejected bool) time.Duration {
 	mean := p.workOf(r.Route).mean
 	if rejected {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -17,19 +17,22 @@
 	domain string
 	random *rand.Rand
 	// seed gives this instance its own order of targets.
-	seed                uint64
-	targets             map[catalog.Incarnation]*target
-	services            map[string][]*target
-	routeWork           map[string]*routeWork // by route name
-	saturationSlowdowns map[string]float64    // by service, learned
-	probes              probeBudget
+	seed      uint64
+	targets   map[catalog.Incarnation]*target
+	services  map[string][]*target
+	routeWork map[string]*routeWork      // by route name
+	curves    map[string]*occupancyCurve // by service, learned
+	loads     map[string]*serviceLoad    // by service, observed
+	queues    map[string]*waitQueue      // by service
+	probes    probeBudget
 }
 
 // New returns a placer without targets for an instance in the failure domain.
 func New(domain string, random *rand.Rand) *Placer {
 	return &Placer{domain: domain, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
-		saturationSlowdowns: make(map[string]float64)}
+		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
+		queues: make(map[string]*waitQueue)}
 }
 
 // SetTargets replaces the targets that accept new requests, by service. The state
@@ -63,7 +66,8 @@
 // SetProbeLimit sets the limit of probes per target and second, summed over all
 // instances; 0 means no limit. The instance uses its share of it.
 func (p *Placer) SetProbeLimit(now time.Duration, perTarget float64, instances int) {
-	p.probes.setRate(now, probeMargin*perTarget*float64(len(p.targets))/float64(max(1, instances)))
+	share := min(maxProbeShare, probeMargin/float64(max(1, instances)))
+	p.probes.setRate(now, share*perTarget*float64(len(p.targets)))
 }
 
 // HasTargets reports whether the service has targets that accept new requests.
@@ -89,6 +93,7 @@
 func (p *Placer) Sent(now time.Duration, id catalog.Incarnation) {
 	if t := p.targets[id]; t != nil {
 		t.sendTimes = append(t.sendTimes, now)
+		p.queue(t.Service).started(now)
 	}
 }
 
@@ -133,11 +138,14 @@
 	case outcome.Responded:
 		t.recordOutcome(now, false)
 		w := p.workOf(route)
-		if choice.AboveSaturation {
-			p.observeSaturation(t.Service, float64(outcome.Latency)/float64(scale(w.mean, choice.Slowdown/p.saturationSlowdown(t.Service))))
-			return
+		if w.known() && choice.Age <= maxFreshAge {
+			p.curve(t.Service).observe(choice.occupiedShare, float64(outcome.Latency)/float64(scale(w.mean, choice.machineSlowdown)))
+		}
+		// The mean is learned from lightly loaded targets, unless there are none: a
+		// mean that includes the slowdown of full ones would hide it.
+		if choice.occupiedShare <= lightShare || !w.known() {
+			w.observe(outcome.Latency, choice.Slowdown)
 		}
-		w.observe(outcome.Latency, choice.Slowdown)
 	}
 }
 
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// Guards against ordinary requests that push a target above its saturation point
-// while they could wait, and against urgent ones that wait although a slot is free.
+// Guards against ordinary or late requests that push a target above its saturation
+// point, and against urgent ones that wait although a slot is free.
 func TestRequirements(t *testing.T) {
 	a := newTarget("a", "near")
 	for _, c := range []struct {
@@ -76,7 +76,8 @@
 		{"too slow, but before the deadline", 2, report(a, 0, 0, 5), placement.RequireDeadline, true},
 		{"late, below saturation", 2, report(a, 2, 0, 1), placement.RequireDeadline, true},
 		{"late, above saturation", 2, report(a, 3, 0, 1), placement.RequireDeadline, false},
-		{"late and urgent, above saturation", 1, report(a, 3, 0, 1), placement.RequireDeadline, true},
+		{"late and urgent, below saturation", 1, report(a, 2, 0, 1), placement.RequireDeadline, true},
+		{"late and urgent, above saturation", 1, report(a, 3, 0, 1), placement.RequireDeadline, false},
 		{"late and urgent, full", 1, report(a, 4, 0, 1), placement.RequireDeadline, false},
 		{"after the deadline", 2, report(a, 0, 0, 20), placement.RequireDeadline, false},
 		{"hedge to an idle one", 2, report(a, 0, 0, 1), placement.RequireIdle, true},
@@ -115,7 +116,7 @@
 	}
 	choose := func(now time.Duration) string {
 		r.Arrived, r.Deadline = now, now+10*time.Second
-		got, ok := p.Choose(now, r, []placement.Report{report(a, 0, 0, 1), report(b, 3, 0, 1)}, placement.RequireDeadline)
+		got, ok := p.Choose(now, r, []placement.Report{report(a, 0, 0, 1), report(b, 3, 0, 1)}, placement.RequireObjective)
 		is.True(ok)
 		return got.Target.ID
 	}
@@ -130,12 +131,14 @@
 	a, b := newTarget("a", "near"), newTarget("b", "near")
 	p := newPlacer(a, b)
 	p.Probed(0, a.Incarnation(), false)
-	sample := p.Sample(0, newRequest(2), false)
+	sample, _ := p.Sample(0, newRequest(2), false, false)
 	is.Equal(len(sample), 1)
 	is.Equal(sample[0].ID, "b")
 	p.Probed(0, b.Incarnation(), false)
-	is.Equal(len(p.Sample(0, newRequest(2), false)), 2)
-	is.Equal(len(p.Sample(time.Minute, newRequest(2), false)), 2)
+	sample, _ = p.Sample(0, newRequest(2), false, false)
+	is.Equal(len(sample), 2)
+	sample, _ = p.Sample(time.Minute, newRequest(2), false, false)
+	is.Equal(len(sample), 2)
 }
 
 // Guards against sending a request to the same target twice.
@@ -144,7 +147,7 @@
 	a, b := newTarget("a", "near"), newTarget("b", "near")
 	r := newRequest(2)
 	r.Tried = []catalog.Incarnation{a.Incarnation()}
-	sample := newPlacer(a, b).Sample(0, r, false)
+	sample, _ := newPlacer(a, b).Sample(0, r, false, false)
 	is.Equal(len(sample), 1)
 	is.Equal(sample[0].ID, "b")
 }
@@ -163,7 +166,8 @@
 		p.SetTargets(0, map[string][]*catalog.Target{service: targets})
 		own := make(map[string]bool)
 		for range 500 {
-			for _, t := range p.Sample(0, newRequest(2), false) {
+			sample, _ := p.Sample(0, newRequest(2), false, false)
+			for _, t := range sample {
 				own[t.ID], used[t.ID] = true, true
 			}
 		}
@@ -190,10 +194,11 @@
 		p := newPlacer(targets...)
 		p.SetProbeLimit(0, perTarget, instances)
 		for now := time.Duration(0); now < seconds*time.Second; now += 10 * time.Millisecond {
-			sent += len(p.Sample(now, newRequest(2), false))
+			sample, _ := p.Sample(now, newRequest(2), false, false)
+			sent += len(sample)
 		}
-		is.True(len(p.CachedReports(seconds*time.Second, newRequest(2))) > 0)
+		is.True(len(p.PredictedReports(seconds*time.Second, newRequest(2))) > 0)
 	}
-	const burst = 8 // seconds
+	const burst = 2 // seconds
 	is.True(float64(sent) <= perTarget*float64(len(targets))*(seconds+burst))
 }
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -17,42 +17,52 @@
 	// instance chooses, for local and for remote targets each. It bounds the
 	// connections to large services and still leaves enough choice.
 	subsetSize = 16
-	// cachedSample is the number of targets compared by their cached reports when
-	// no probe may be sent.
-	cachedSample = 2
-	// maxCachedAge is the age up to which a cached report is used.
-	maxCachedAge = time.Second
+	// maxSharedAge is the age up to which the report of a target serves other requests
+	// than the one that it was probed for. The speed of a target changes within some
+	// ten milliseconds.
+	maxSharedAge = 10 * time.Millisecond
 )
 
 // Sample returns random targets to probe for a request, from the instance's own
-// failure domain or, when remote is set, from the others. Suspended targets are
-// included only when there are no others. It returns fewer targets, or none, when
-// the probe budget is used up.
-func (p *Placer) Sample(now time.Duration, r *Request, remote bool) []*catalog.Target {
+// failure domain or, when remote is set, from the others, and the reports of those
+// that need no probe since theirs is fresh. Suspended targets are included only when
+// there are no others. It returns fewer targets, or none, when the probe budget is
+// used up. A request that waits for room leaves a part of the budget to requests
+// that have just arrived.
+func (p *Placer) Sample(now time.Duration, r *Request, remote, waiting bool) ([]*catalog.Target, []Report) {
 	n := localSample
 	if remote {
 		n = remoteSample
 	}
-	list := p.eligible(now, r, func(t *target) bool { return (t.FailureDomain != p.domain) == remote })
-	n = p.probes.take(now, min(n, len(list)))
+	var fresh []Report
+	var unknown []*target
+	for _, t := range p.eligible(now, r, func(t *target) bool { return (t.FailureDomain != p.domain) == remote }) {
+		if last := t.lastReport; last.Target != nil && now-last.At <= maxSharedAge {
+			fresh = append(fresh, last)
+		} else {
+			unknown = append(unknown, t)
+		}
+	}
+	reserve := 0.0
+	if waiting {
+		reserve = waitingReserve
+	}
+	n = p.probes.take(now, max(0, min(n-len(fresh), len(unknown))), reserve)
 	sample := make([]*catalog.Target, 0, n)
-	for _, t := range list[:n] {
+	for _, t := range unknown[:n] {
 		sample = append(sample, t.Target)
 	}
-	return sample
+	return sample, fresh
 }
 
-// CachedReports returns the latest reports of a few random targets, for a choice
-// without probes. A target without a recent report counts as idle.
-func (p *Placer) CachedReports(now time.Duration, r *Request) []Report {
+// PredictedReports returns the probable load of the targets of the service, for a
+// choice without probes.
+func (p *Placer) PredictedReports(now time.Duration, r *Request) []Report {
+	mean := p.workOf(r.Route).mean
 	list := p.eligible(now, r, func(*target) bool { return true })
-	reports := make([]Report, 0, cachedSample)
-	for _, t := range list[:min(cachedSample, len(list))] {
-		report := t.lastReport
-		if report.Target == nil || now-report.At > maxCachedAge {
-			report = Report{Target: t.Target, Load: Load{Slots: t.Slots, Slowness: 1}, At: now - maxCachedAge}
-		}
-		reports = append(reports, report)
+	reports := make([]Report, 0, len(list))
+	for _, t := range list {
+		reports = append(reports, p.predict(now, t, mean))
 	}
 	return reports
 }
@@ -83,10 +93,10 @@
 	return responsive
 }
 
-// Reported caches a load report that came with a target's response, unless a later
-// one is known.
+// Reported caches a load report of a target, unless a later one is known.
 func (p *Placer) Reported(r Report) {
 	if t := p.targets[r.Target.Incarnation()]; t != nil && r.At >= t.lastReport.At {
 		t.lastReport = r
+		p.load(t.Service).observe(r)
 	}
 }
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -97,7 +97,8 @@
 				return false
 			}
 			var reports []placement.Report
-			for _, t := range p.Sample(now, &r.request, false) {
+			sample, _ := p.Sample(now, &r.request, false, now > r.request.Arrived)
+			for _, t := range sample {
 				state := byID[t.ID]
 				reports = append(reports, placement.Report{Target: t, At: now, Load: placement.Load{
 					Running: len(state.running), Waiting: len(state.waiting), Slots: simSlots, Slowness: 1}})
@@ -140,10 +141,10 @@
 		return p.Choose(now, r, reports, p.Requirement(now, r))
 	})
 	greedyWithinObjective, greedyServed := simulate(func(p *placement.Placer, now time.Duration, r *placement.Request, reports []placement.Report) (placement.Choice, bool) {
-		urgent, route := *r, *r.Route
-		route.Rank = 0 // urgent requests may use all slots
-		urgent.Route = &route
-		return p.Choose(now, &urgent, reports, placement.RequireDeadline)
+		for i := range reports {
+			reports[i].Load.Slots = simSlots + 1 // saturation is assumed at four of five
+		}
+		return p.Choose(now, r, reports, placement.RequireDeadline)
 	})
 	t.Logf("share within objective %.3f, served %.3f; with all slots filled %.3f and %.3f", withinObjective, served, greedyWithinObjective, greedyServed)
 	if served < 0.95 || withinObjective < 0.9 {
--- /dev/null
+++ b/placement/waitqueue.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// startRateHalfLife is the half-life of the rate at which requests start.
+	startRateHalfLife = time.Second
+	// minWaiting is the number of requests of a service that may always wait. With
+	// few requests the rate at which they start is not known.
+	minWaiting = 2
+)
+
+// waitQueue counts the requests of a service that wait in this instance for room
+// at the targets, and the rate at which requests start there.
+type waitQueue struct {
+	waiting int
+	// starts is a decaying count of the requests sent to targets, as of at.
+	starts float64
+	at     time.Duration
+}
+
+// started records that a request is sent to a target.
+func (q *waitQueue) started(now time.Duration) {
+	q.starts = q.starts*decay(now-q.at, startRateHalfLife) + 1
+	q.at = now
+}
+
+// rate returns the number of requests that start per second.
+func (q *waitQueue) rate(now time.Duration) float64 {
+	return q.starts * decay(now-q.at, startRateHalfLife) * math.Ln2 / startRateHalfLife.Seconds()
+}
+
+// StartWaiting reports whether a request that found no room may wait for it, and
+// counts it as waiting if so; StopWaiting must be called then. A request may not
+// wait if those that wait already take all the room that is expected within its
+// maximum wait.
+func (p *Placer) StartWaiting(now time.Duration, r *Request) bool {
+	q := p.queue(r.Service)
+	left := r.Arrived + p.MaxWait(r) - now
+	if q.waiting >= minWaiting && float64(q.waiting+1) > q.rate(now)*left.Seconds() {
+		return false
+	}
+	q.waiting++
+	return true
+}
+
+// StopWaiting records that a request no longer waits for room.
+func (p *Placer) StopWaiting(r *Request) { p.queue(r.Service).waiting-- }
+
+func (p *Placer) queue(service string) *waitQueue {
+	q := p.queues[service]
+	if q == nil {
+		q = new(waitQueue)
+		p.queues[service] = q
+	}
+	return q
+}
