Answer what is queued at a planned stop; mend known findings

Planned stop. Causes found: - The kernel completes connections that the program has not accepted. Closing the listener resets them, also those on which a request was sent: the caller cannot know that it was not read. This is TestRollingReplacement: the first attempt is reset, may have run, and must be repeated with its ticket at an instance that is gone ("connection refused"). internal/acceptqueue accepts what is queued before it closes; both programs use it. - net/http's Shutdown waits five seconds for connections without a request. A request that came on one of them late in the stop reached a target and was cut 5.7 s after SIGTERM.

Findings of the reading: - quarantine: a report with a time before the start of the instance counted as time 0 and was void. It counts now. Failures count until five minutes after the last one, as before: a request that comes back every few minutes crashes a target each time.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -205,7 +205,7 @@
 	i := &instance{ended: make(chan struct{})}
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
 		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
-		Decoder: decoder{}, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
+		Decoder: decoder{}, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	go func() {
@@ -214,7 +214,6 @@
 			c.t.Error(err)
 		}
 	}()
-	i.SetReady(true)
 	c.running[ip] = i
 	return i
 }
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -35,8 +35,9 @@
 	Log *slog.Logger
 	// Now returns the time since the start of the process, on a monotonic clock.
 	Now func() time.Duration
-	// OnView, if not nil, is called by the task after each new view. It must not block.
-	OnView func()
+	// OnView, if not nil, is called by the task after each new view. It returns whether
+	// this instance can serve callers with it. It must not block or call the task.
+	OnView func() (ready bool)
 	// OnFailureReports, if not nil, is called by the task with new failure reports of
 	// peers. It must not block.
 	OnFailureReports func([]quarantine.FailureReport)
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -79,15 +79,6 @@
 // Snapshot returns the current membership of the fleet, never nil.
 func (t *Task) Snapshot() *Snapshot { return t.snapshot.Load() }
 
-// SetReady sets whether this instance can serve callers, and notifies peers of a change.
-func (t *Task) SetReady(ready bool) {
-	t.loop.Post(func(time.Duration) {
-		if t.setFlag(Ready, ready) {
-			t.scheduleBroadcast(scopeFew)
-		}
-	})
-}
-
 // Leave marks this instance as leaving and not ready, and notifies all peers. It does not
 // wait for them.
 func (t *Task) Leave() {
@@ -99,9 +90,10 @@
 	})
 }
 
-// ReportFailure sends a failure report to all other instances. It does not wait for them.
+// ReportFailure sends a failure report to all other instances. It never blocks: its
+// callers own state that this task waits for in OnView and OnFailureReports.
 func (t *Task) ReportFailure(s quarantine.FailureReport) {
-	t.loop.Post(func(time.Duration) {
+	go t.loop.Post(func(time.Duration) {
 		t.failureReports.add(s, netip.Addr{})
 		t.scheduleBroadcast(scopeFew) // regular exchanges leave the failure domain only every two seconds
 	})
@@ -278,8 +270,8 @@
 
 func (t *Task) publishView(now time.Duration) {
 	t.view.Store(t.builder.Build(now, t.set.Revision()))
-	if t.options.OnView != nil {
-		t.options.OnView()
+	if t.options.OnView != nil && t.setFlag(Ready, t.options.OnView()) {
+		t.scheduleBroadcast(scopeFew)
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -21,6 +21,9 @@
 	// is short, since an instance that has just started gets its configuration
 	// from peers or the store within a fraction of a second.
 	defaultRetryAfter = 300 * time.Millisecond
+	// leavingRetryDelay is the Retry-After time when this instance stops; another one
+	// can serve the request at once.
+	leavingRetryDelay = time.Millisecond
 	// defaultConfigWait is the default of Options.ConfigWait. When 169 instances
 	// start together, each has a configuration after 0.06 to 0.31 s.
 	defaultConfigWait = 250 * time.Millisecond
@@ -58,6 +61,9 @@
 func (x *exchange) serve() *response {
 	g := x.gateway
 	x.view = g.options.View()
+	if g.refusing.Load() {
+		return newRefusal(outcomeStopped, leavingRetryDelay)
+	}
 	if x.view.Config == nil {
 		x.awaitConfig()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	scheduler        *scheduler
 	client           *transport.Client
 	stopping         atomic.Bool
+	refusing         atomic.Bool
 	bodyBytes        atomic.Int64  // request bodies in memory
 	connectionLimits sync.Map      // by address, int
 	probes           atomic.Uint64 // sent so far, numbers their IDs
@@ -99,6 +100,10 @@
 // caller's connection after the next response.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// RefuseNew makes the gateway refuse requests that arrive from now on. Call it after
+// Stop.
+func (g *Gateway) RefuseNew() { g.refusing.Store(true) }
+
 // InFlight returns the number of requests without a complete response.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -50,3 +50,17 @@
 	is.True(strings.HasPrefix(string(got), "HTTP/1.1 408 "))
 	is.Equal(f.total(), int64(0))
 }
+
+// Guards against a request that arrives late in a planned stop, reaches a target and is
+// cut at the end of the stop.
+func TestLateRequestsOfAStopAreRefused(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", run))
+	f.gateway.Stop()
+	got := f.send(t, http.MethodPost, "/brief/x", "body")
+	is.Equal(got.status, http.StatusOK) // served while callers still use the instance
+	f.gateway.RefuseNew()
+	got = f.send(t, http.MethodPost, "/brief/x", "body")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(f.total(), int64(1))
+}
--- a/membership/message.go
+++ b/membership/message.go
@@ -56,7 +56,10 @@
 		return false
 	}
 	o := m.findOrAdd(now, s.GetId())
-	if o == nil || !o.acceptIncarnation(now, incarnation, true) {
+	if o == nil { // counted by findOrAdd
+		return false
+	}
+	if !o.acceptIncarnation(now, incarnation, true) {
 		m.rejected++
 		return false
 	}
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -255,3 +255,20 @@
 	}
 	is.True(owned["a"] > 50 && owned["b"] > 50 && owned["c"] > 50)
 }
+
+// Guards against a rejected new member that is counted twice when the table is full.
+func TestMembersAboveTheLimitAreCountedOnce(t *testing.T) {
+	is := is.New(t)
+	m := newNode(0, 1)
+	receive := func(n int) bool {
+		state := newNode(1, 1).Message(0, false)
+		state.Id = fmt.Sprintf("i%04d", n)
+		return m.Receive(0, state)
+	}
+	for n := range maxMembers {
+		is.True(receive(n))
+	}
+	before := m.View(0).Rejected
+	is.True(!receive(maxMembers))
+	is.Equal(m.View(0).Rejected, before+1)
+}
--- a/node/caller_conn.go
+++ b/node/caller_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +40,7 @@
 type callerListener struct {
 	net.Listener
 	limits func() catalog.Limits
+	conns  *callerConns
 }
 
 // Accept implements net.Listener. The idle timeout of the connection starts at once.
@@ -51,6 +51,7 @@
 	}
 	c := &callerConn{Conn: raw, limits: l.limits}
 	c.timer = time.AfterFunc(c.idleLimit(), c.expire)
+	l.conns.add(c)
 	return c, nil
 }
 
@@ -90,29 +91,16 @@
 	return defaultIdleTimeout
 }
 
+// expireUnused closes the connection if no byte of a request has been received.
+func (c *callerConn) expireUnused() {
+	if c.phase.CompareAndSwap(phaseIdle, phaseClosed) {
+		_ = c.Conn.Close() // as in expire
+	}
+}
+
 // expire closes the connection unless a request is being served. The timer calls it.
 func (c *callerConn) expire() {
 	if c.phase.CompareAndSwap(phaseIdle, phaseClosed) || c.phase.CompareAndSwap(phaseHeader, phaseClosed) {
 		_ = c.Conn.Close() // the caller sees the close; there is nobody to report an error to
 	}
 }
-
-// connState is the ConnState hook of the servers. net/http reports a connection as
-// active from the end of a request's header to the end of its response; the limits
-// do not apply during this time.
-func connState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
-	if !ok {
-		return
-	}
-	switch state {
-	case http.StateActive:
-		c.timer.Stop()
-		c.phase.CompareAndSwap(phaseIdle, phaseServed)
-		c.phase.CompareAndSwap(phaseHeader, phaseServed)
-	case http.StateIdle:
-		if c.phase.CompareAndSwap(phaseServed, phaseIdle) {
-			c.timer.Reset(c.idleLimit())
-		}
-	}
-}
--- a/node/caller_conn_test.go
+++ b/node/caller_conn_test.go
@@ -44,9 +44,10 @@
 		time.Sleep(time.Minute) // longer than both limits, which don't apply to a request in progress
 		_, _ = io.Copy(w, r.Body)
 	})
-	server := &http.Server{Handler: handler, ConnState: connState} //nolint:gosec // callerListener limits the connections
+	conns := new(callerConns)
+	server := &http.Server{Handler: handler, ConnState: conns.stateChanged} //nolint:gosec // callerListener limits the connections
 	go func() {
-		if err := server.Serve(&callerListener{Listener: l, limits: limits}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&callerListener{Listener: l, limits: limits, conns: conns}); !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("serve: %v", err)
 		}
 	}()
--- a/node/node.go
+++ b/node/node.go
@@ -129,11 +129,11 @@
 	return catalog.Limits{}
 }
 
-// viewChanged notifies the gateway of a new view and updates the instance's
-// readiness.
-func (n *Node) viewChanged() {
+// viewChanged notifies the gateway of a new view and returns whether the instance is
+// ready with it.
+func (n *Node) viewChanged() (ready bool) {
 	n.gateway.ViewChanged()
-	n.fleet.SetReady(n.gateway.Ready())
+	return n.gateway.Ready()
 }
 
 // Reload applies the settings that may change while the process runs: the retry
--- a/node/run.go
+++ b/node/run.go
@@ -14,6 +14,9 @@
 	// acceptShare is the share of the shutdown time during which new requests are
 	// still accepted, since callers use the addresses of resolve for a while.
 	acceptShare = 0.5
+	// lastRequestWait is how long after the last connection is accepted its request is
+	// still served. Later ones are refused, since they might not end in time.
+	lastRequestWait = 200 * time.Millisecond
 	// shutdownMargin is the time between the end of the drain and the platform's
 	// shutdown timeout, after which the platform kills the process.
 	shutdownMargin = 300 * time.Millisecond
@@ -61,8 +64,9 @@
 }
 
 // drain makes peers remove this instance from the lists for callers, serves new
-// requests for a while and asks their callers to close the connection, and then waits
-// for the requests in progress, all within the shutdown timeout.
+// requests for a while and asks their callers to close the connection, accepts the
+// connections that are queued, and then refuses new requests and waits for those in
+// progress, all within the shutdown timeout.
 func (n *Node) drain(ctx context.Context) {
 	limit := n.settings.Load().Bounds.ShutdownTimeout - shutdownMargin
 	n.options.Log.Info("shutdown requested, draining", "in_flight", n.gateway.InFlight(), "limit_ms", limit.Milliseconds())
@@ -70,7 +74,14 @@
 	defer cancel()
 	n.gateway.Stop()
 	n.fleet.Leave()
-	backoff.Sleep(ctx, time.Duration(acceptShare*float64(limit)))
+	backoff.Sleep(ctx, max(0, time.Duration(acceptShare*float64(limit))-lastRequestWait))
+	for _, s := range n.servers {
+		if err := s.stopAccepting(ctx); err != nil {
+			n.options.Log.Warn("drain of accepted connections incomplete", "server", s.name, "error", err.Error())
+		}
+	}
+	backoff.Sleep(ctx, lastRequestWait)
+	n.gateway.RefuseNew()
 	for _, s := range n.servers {
 		if err := s.shutdown(ctx); err != nil {
 			n.options.Log.Warn("server shutdown incomplete, requests in progress are cut", "error", err.Error(), "in_flight", n.gateway.InFlight())
--- a/node/server.go
+++ b/node/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/acceptqueue"
 )
 
 const (
@@ -24,15 +25,17 @@
 
 // server is an HTTP server with its listener. name appears in errors.
 type server struct {
-	name     string
-	address  string
-	limits   func() catalog.Limits
-	http     *http.Server
-	listener net.Listener
+	name    string
+	address string
+	limits  func() catalog.Limits
+	http    *http.Server
+	queue   *acceptqueue.Listener
+	conns   *callerConns
 }
 
 func newServer(name, address string, handler http.Handler, limits func() catalog.Limits, log *slog.Logger) *server {
-	return &server{name: name, address: address, limits: limits, http: &http.Server{Handler: handler, ConnState: connState,
+	conns := new(callerConns)
+	return &server{name: name, address: address, limits: limits, conns: conns, http: &http.Server{Handler: handler, ConnState: conns.stateChanged,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
 
@@ -41,21 +44,28 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.name)
 	}
-	s.listener = &callerListener{Listener: listener, limits: s.limits}
+	if s.queue, err = acceptqueue.New(listener); err != nil {
+		return errors.Wrapf(err, "listen for %s", s.name)
+	}
 	return nil
 }
 
 func (s *server) serve() error {
-	err := s.http.Serve(s.listener) // returns a non-nil error
+	err := s.http.Serve(&callerListener{Listener: s.queue, limits: s.limits, conns: s.conns}) // returns a non-nil error
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrapf(err, "serve %s", s.name)
 }
 
-// shutdown closes the listener and waits until the requests in progress are complete
+// stopAccepting accepts the connections that callers have opened, and then closes
+// the listener.
+func (s *server) stopAccepting(ctx context.Context) error { return s.queue.Drain(ctx) }
+
+// shutdown closes the connections without a request and waits until the requests in progress are complete
 // or the context ends.
 func (s *server) shutdown(ctx context.Context) error {
+	s.conns.closeUnused() // net/http would wait up to five seconds for them
 	if err := s.http.Shutdown(ctx); err != nil {
 		return errors.Wrapf(err, "shut down %s", s.name)
 	}
--- a/poison/taskattempts.go
+++ b/poison/taskattempts.go
@@ -39,18 +39,3 @@
 		t.finishTrial(ctx, a.Fingerprint, a.Target, verdictOf(o))
 	}
 }
-
-// TargetCrashed makes suspects of the requests in flight at a target whose crash
-// is known from another source than its attempts. It waits for the peers like
-// Ended after a broken connection.
-func (t *Task) TargetCrashed(ctx context.Context, target string) {
-	ctx = context.WithoutCancel(ctx)
-	notices, err := owner.Call(ctx, t.loop, func(now time.Duration) []Notice {
-		notices := t.detector.TargetCrashed(now, target)
-		t.publishRecordCount()
-		return notices
-	})
-	if err == nil {
-		t.broadcast(ctx, notices)
-	}
-}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/poison"
@@ -12,13 +13,18 @@
 	// another reason.
 	crashLimit = 3
 	// retention is how long after its last failure a request is tracked and, if it
-	// reached crashLimit, blocked.
+	// reached crashLimit, blocked. Until then all its failures count: a request that
+	// comes back every few minutes crashes one target each time.
 	retention = 5 * time.Minute
 	// maxRequests bounds the memory of the tracker: when a failure domain fails,
 	// each request in progress there gets a failure report.
 	maxRequests = 4096
 )
 
+// beforeAll is before the time of every report. Reports of other instances may have
+// times before the start of this process, which are negative.
+const beforeAll = time.Duration(math.MinInt64)
+
 // Tracker collects failure reports by request. One goroutine owns it.
 type Tracker struct {
 	records map[poison.Fingerprint]*requestRecord
@@ -46,13 +52,15 @@
 		if len(t.records) >= maxRequests {
 			t.dropOldest()
 		}
-		r = &requestRecord{failures: make(map[uint64]time.Duration)}
+		r = &requestRecord{failures: make(map[uint64]time.Duration), lastFailure: beforeAll, completedAt: beforeAll}
 		t.records[report.Request] = r
 	}
 	if report.Completed {
 		r.completedAt = max(r.completedAt, report.At)
 	} else {
-		r.failures[report.Target] = max(r.failures[report.Target], report.At)
+		if last, known := r.failures[report.Target]; !known || report.At > last {
+			r.failures[report.Target] = report.At
+		}
 		r.lastFailure = max(r.lastFailure, report.At)
 	}
 	for target, at := range r.failures {
@@ -93,9 +101,9 @@
 
 func (t *Tracker) dropOldest() {
 	var oldest poison.Fingerprint
-	oldestAt := time.Duration(-1)
+	oldestAt := time.Duration(math.MaxInt64)
 	for request, r := range t.records {
-		if oldestAt < 0 || r.lastFailure < oldestAt {
+		if r.lastFailure < oldestAt {
 			oldest, oldestAt = request, r.lastFailure
 		}
 	}
--- a/serve.go
+++ b/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/admin"
 	"github.com/dogwoodroute/dogwoodroute/entry"
+	"github.com/dogwoodroute/dogwoodroute/internal/acceptqueue"
 	"github.com/dogwoodroute/dogwoodroute/timeline"
 )
 
@@ -155,8 +156,12 @@
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond,
 		IdleTimeout:       time.Duration(limits.IdleTimeoutMillis) * time.Millisecond,
 		ErrorLog:          slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)} // errors caused by callers
+	queue, err := acceptqueue.New(listener)
+	if err != nil {
+		return errors.Wrap(err, "serve callers")
+	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(queue) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve callers")
@@ -165,15 +170,15 @@
 	case <-i.stopNow:
 	case <-taskCtx.Done():
 	}
-	err := i.leave(taskCtx, server)
+	err = i.leave(taskCtx, server, queue)
 	<-served // http.ErrServerClosed
 	return err
 }
 
 // leave carries out a planned stop: it announces that the instance is leaving,
-// waits until resolve responses have expired, and then waits for the requests in
-// flight up to the shutdown limit.
-func (i *Instance) leave(taskCtx context.Context, server *http.Server) error {
+// waits until resolve responses have expired, accepts the connections that are still
+// queued, and then waits for the requests in flight up to the shutdown limit.
+func (i *Instance) leave(taskCtx context.Context, server *http.Server, queue *acceptqueue.Listener) error {
 	i.drain.Leave()
 	i.members.Leave()
 	i.events.RecordState(timeline.Event{Kind: timeline.InstanceLeaving})
@@ -191,6 +196,9 @@
 	case <-time.After(i.settings.ResolveValidity() + leaveMargin):
 	case <-limitCtx.Done():
 	}
+	if err := queue.Drain(limitCtx); err != nil {
+		i.log.Warn("drain of accepted connections is incomplete", "error", err.Error())
+	}
 	if server.Shutdown(limitCtx) == nil {
 		i.drain.End()
 		i.recordStopped(0)
