placement: check health answers by the outcomes of requests

A target that answered a probe with another status than 200 was suspended like one that does not answer, and stayed idle as long as any other responded, also while the others were full. It counts now as a target with a risk of failure: others are preferred, it is used when they are full or much slower, and a completed request proves it well for five seconds. A failure, or an answer of "well", ends that. A target that calls itself well and fails is avoided by its outcomes, as before.

A draining target also answers 503; it leaves the list with its registration, and until then requests may go to it.

TestHealthAnswersAreCheckedByOutcomes plays both lies.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
+	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/poison"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
@@ -70,7 +71,7 @@
 	ctx, id, path := context.WithoutCancel(x.caller.Context()), x.id, x.healthPath(t)
 	go func() {
 		backoff.Sleep(ctx, crashCheckDelay)
-		if _, alive := g.sendProbe(ctx, t, path); !alive {
+		if _, result := g.sendProbe(ctx, t, path); result != placement.ProbeWell {
 			g.scheduler.recordCrash(report, id, t.ID)
 		}
 	}()
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -108,13 +108,13 @@
 	})
 }
 
-// recordProbe records whether a target answered a probe and, if so, its report.
-func (s *scheduler) recordProbe(id catalog.Incarnation, r placement.Report, answered bool) {
+// recordProbe records the result of a probe and its report, if there is one.
+func (s *scheduler) recordProbe(id catalog.Incarnation, r placement.Report, result placement.ProbeResult) {
 	s.loop.Post(func(now time.Duration) {
-		if s.placer.Probed(now, id, answered) {
-			s.log.Info("target probe status changed", "target", id.ID, "answers", answered)
+		if s.placer.Probed(now, id, result) {
+			s.log.Info("target probe status changed", "target", id.ID, "answers", result != placement.ProbeSilent)
 		}
-		if answered {
+		if r.Target != nil {
 			s.placer.Reported(r)
 		}
 	})
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -140,21 +140,21 @@
 	return "/"
 }
 
-// probeAndRecord probes a target, passes the result to the scheduler, and sends it
-// to reports unless that would block.
+// probeAndRecord probes a target, passes the result to the scheduler, and sends the
+// report to reports unless that would block.
 func (g *Gateway) probeAndRecord(ctx context.Context, t *catalog.Target, path string, reports chan<- placement.Report) {
-	report, ok := g.sendProbe(ctx, t, path)
-	g.scheduler.recordProbe(t.Incarnation(), report, ok)
+	report, result := g.sendProbe(ctx, t, path)
+	g.scheduler.recordProbe(t.Incarnation(), report, result)
 	select {
 	case reports <- report:
 	default: // the channel is full, as no receiver is left
 	}
 }
 
-// sendProbe probes a target. It reports false if no complete response with status
-// 200 arrives within probeTimeout, or if the response names another target. The end
-// of the request that needs the probe does not cancel it.
-func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) (placement.Report, bool) {
+// sendProbe probes a target. The result is ProbeSilent if no complete response
+// arrives within probeTimeout, or if the response names another target. The end of
+// the request that needs the probe does not cancel it.
+func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) (placement.Report, placement.ProbeResult) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	d := &g.options.Dialect
@@ -162,21 +162,27 @@
 	resp, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
 		Header: http.Header{d.RequestID: {id}}, EchoHeader: d.RequestID})
 	if err != nil {
-		return placement.Report{}, false
+		return placement.Report{}, placement.ProbeSilent
 	}
 	defer func() { _ = resp.Body.Close() }() // an error only closes the connection
 	if _, err := readAll(resp.Body, maxProbeBytes); err != nil {
-		return placement.Report{}, false
+		return placement.Report{}, placement.ProbeSilent
 	}
-	if respondent := resp.Header.Get(d.TargetID); respondent != "" && respondent != t.ID {
-		return placement.Report{}, false
+	respondent := resp.Header.Get(d.TargetID)
+	if respondent != "" && respondent != t.ID {
+		return placement.Report{}, placement.ProbeSilent
 	}
-	load, ok := d.ParseLoad(resp.Header.Get(d.Load))
-	if !ok { // without a load report the target counts as idle
+	load, hasLoad := d.ParseLoad(resp.Header.Get(d.Load))
+	if !hasLoad { // without a load report the target counts as idle
 		load = placement.Load{Slots: t.Slots, Slowness: 1}
 	}
-	if resp.StatusCode != http.StatusOK {
-		return placement.Report{}, false
+	report := placement.Report{Target: t, Load: load, At: g.options.Now()}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return report, placement.ProbeWell
+	case hasLoad && respondent == t.ID: // a target without a load report gives no reason to doubt its answer
+		return report, placement.ProbeIll
+	default:
+		return placement.Report{}, placement.ProbeSilent
 	}
-	return placement.Report{Target: t, Load: load, At: g.options.Now()}, true
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -87,7 +87,7 @@
 // isGood reports whether the target is below its saturation point, runs at about
 // its usual speed and has few recent failures.
 func (e *estimate) isGood(now time.Duration) bool {
-	return e.occupied <= e.saturation && e.slowdown <= maxGoodSlowdown && e.target.failureRate(now) < maxGoodFailureRate
+	return e.occupied <= e.saturation && e.slowdown <= maxGoodSlowdown && e.target.risk(now) < maxGoodFailureRate
 }
 
 // Requirement returns the requirement for the first send of the request:
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -58,7 +58,7 @@
 }
 
 // cost returns the value by which targets are compared: the expected time,
-// increased for recent failures of the target.
+// increased for the risk that the target fails.
 func (e *estimate) cost(now time.Duration) time.Duration {
-	return scale(e.duration, 1+failurePenalty*e.target.failureRate(now))
+	return scale(e.duration, 1+failurePenalty*e.target.risk(now))
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -73,16 +73,18 @@
 // HasTargets reports whether the service has targets that accept new requests.
 func (p *Placer) HasTargets(service string) bool { return len(p.services[service]) > 0 }
 
-// Probed records whether a target responded to a probe. It reports whether the
-// target changed between responsive and unresponsive.
-func (p *Placer) Probed(now time.Duration, id catalog.Incarnation, responded bool) (changed bool) {
+// Probed records the result of a probe. It reports whether the target changed
+// between responsive and unresponsive.
+func (p *Placer) Probed(now time.Duration, id catalog.Incarnation, result ProbeResult) (changed bool) {
 	t := p.targets[id]
 	if t == nil {
 		return false
 	}
+	responded := result != ProbeSilent
 	changed = responded == (t.consecutiveFailures > 0)
 	if responded {
 		t.recordResponse()
+		t.recordHealth(now, result == ProbeIll)
 	} else {
 		t.recordNoResponse(now)
 	}
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -130,11 +130,11 @@
 	is := is.New(t)
 	a, b := newTarget("a", "near"), newTarget("b", "near")
 	p := newPlacer(a, b)
-	p.Probed(0, a.Incarnation(), false)
+	p.Probed(0, a.Incarnation(), placement.ProbeSilent)
 	sample, _ := p.Sample(0, newRequest(2), false, false)
 	is.Equal(len(sample), 1)
 	is.Equal(sample[0].ID, "b")
-	p.Probed(0, b.Incarnation(), false)
+	p.Probed(0, b.Incarnation(), placement.ProbeSilent)
 	sample, _ = p.Sample(0, newRequest(2), false, false)
 	is.Equal(len(sample), 2)
 	sample, _ = p.Sample(time.Minute, newRequest(2), false, false)
@@ -202,3 +202,42 @@
 	const burst = 2 // seconds
 	is.True(float64(sent) <= perTarget*float64(len(targets))*(seconds+burst))
 }
+
+// Guards against health answers that are believed without a look at the outcomes of
+// requests: a target that calls itself ill but serves must not be left idle while the
+// others are full, and one that calls itself well but fails must be avoided. Both must
+// have a way back.
+func TestHealthAnswersAreCheckedByOutcomes(t *testing.T) {
+	is := is.New(t)
+	ill, other := newTarget("ill", "near"), newTarget("other", "near")
+	p := newPlacer(ill, other)
+	r := newRequest(2)
+	choose := func(now time.Duration, otherRunning int) string {
+		r.Arrived, r.Deadline = now, now+10*time.Second
+		reports := []placement.Report{report(ill, 0, 0, 1), report(other, otherRunning, 0, 1.2)}
+		for i := range reports {
+			reports[i].At = now
+		}
+		got, ok := p.Choose(now, r, reports, placement.RequireDeadline)
+		is.True(ok)
+		return got.Target.ID
+	}
+	end := func(now time.Duration, outcome placement.Outcome) {
+		p.Sent(now, ill.Incarnation())
+		p.Ended(now, ill.Incarnation(), now, r.Route, placement.Choice{Slowdown: 1}, outcome)
+	}
+	p.Probed(0, ill.Incarnation(), placement.ProbeIll)
+	is.Equal(choose(0, 2), "other") // avoided while there is another
+	is.Equal(choose(0, 4), "ill")   // but used when the other is full
+	end(0, placement.Outcome{Responded: true, Latency: time.Millisecond})
+	is.Equal(choose(0, 2), "ill") // it serves, so its answers were false
+	end(0, placement.Outcome{Failed: true})
+	is.Equal(choose(0, 2), "other") // it is ill after all
+	p.Probed(time.Minute, ill.Incarnation(), placement.ProbeWell)
+	is.Equal(choose(time.Minute, 2), "ill") // and has recovered
+	for range 3 {
+		end(time.Minute, placement.Outcome{Failed: true})
+		p.Probed(time.Minute, ill.Incarnation(), placement.ProbeWell)
+	}
+	is.Equal(choose(time.Minute, 2), "other") // calls itself well, but fails
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -17,6 +17,14 @@
 	// failurePenalty is the increase of the cost of a target with failure rate 1,
 	// as a multiple of its expected time.
 	failurePenalty = 6.0
+	// illRisk is the failure rate that is assumed for a target that calls itself ill,
+	// until it completes a request. Health answers may be false either way, so such a
+	// target is used only if the others are much slower or full.
+	illRisk = 0.5
+	// illRetention is how long an answer to a probe counts, and provenTime how long a
+	// completed request.
+	illRetention = 5 * time.Second
+	provenTime   = 5 * time.Second
 	// failureWeight is the weight of a new outcome in the failure rate.
 	failureWeight = 0.4
 )
@@ -35,6 +43,9 @@
 	// consecutiveFailures counts the probes and connections that failed in a row.
 	consecutiveFailures int
 	suspendedUntil      time.Duration
+	// illUntil is until when the answer to a probe counts that called the target ill,
+	// and provenUntil until when a completed request counts more than that.
+	illUntil, provenUntil time.Duration
 }
 
 // sentSince returns the number of requests in flight that were sent after a time.
@@ -61,10 +72,23 @@
 	rate := t.failureRate(now) * (1 - failureWeight)
 	if failed {
 		rate += failureWeight
+		t.provenUntil = 0
+	} else {
+		t.provenUntil = now + provenTime
 	}
 	t.failures, t.failuresAt = rate, now
 }
 
+// risk returns the expected failure rate of the next request: that of the last ones,
+// or illRisk if the target calls itself ill and has completed none.
+func (t *target) risk(now time.Duration) float64 {
+	rate := t.failureRate(now)
+	if now < t.illUntil && now >= t.provenUntil {
+		return max(rate, illRisk)
+	}
+	return rate
+}
+
 // recordNoResponse suspends the target after a probe or a connection failed.
 func (t *target) recordNoResponse(now time.Duration) {
 	t.consecutiveFailures++
@@ -74,3 +98,11 @@
 
 // recordResponse ends the suspension of the target.
 func (t *target) recordResponse() { t.consecutiveFailures, t.suspendedUntil = 0, 0 }
+
+// recordHealth stores whether the target calls itself ill.
+func (t *target) recordHealth(now time.Duration, ill bool) {
+	t.illUntil = 0
+	if ill {
+		t.illUntil = now + illRetention
+	}
+}
