Smaller even subsets of targets; bound the memory for responses

placement: an instance chose among 16 targets of a service in its failure domain and 16 in others, whatever the size of the fleet. The size follows the fleet now: at least eight targets, and so many that each target is in the subsets of eight instances.

gateway: responses are buffered, each up to 16 MiB, and nothing bounded all of them together: ten targets in trouble could take the whole memory of an instance. Beyond 64 KiB a response now reserves memory from the limit that holds for request bodies.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"maps"
@@ -64,8 +65,8 @@
 	resp, err := g.client.Do(ctx, request)
 	if err == nil {
 		var body []byte
-		body, err = readAll(resp.Body, maxResponseBytes)
-		_ = resp.Body.Close() // readAll has already detected an incomplete body
+		body, err = x.readResponse(resp.Body)
+		_ = resp.Body.Close() // readResponse has already detected an incomplete body
 		if err == nil {
 			e := x.classify(resp, body)
 			e.endedAt = g.options.Now()
@@ -157,6 +158,29 @@
 	return r
 }
 
+// freeResponseBytes is the part of a response that needs no reservation. Most
+// responses are shorter.
+const freeResponseBytes = 64 << 10
+
+// readResponse reads the body of a response. It fails if the body exceeds
+// maxResponseBytes, or the bodies in memory exceed Options.BodyBytes.
+func (x *exchange) readResponse(body io.Reader) ([]byte, error) {
+	buffer := bytes.NewBuffer(make([]byte, 0, bytes.MinRead))
+	for {
+		n, err := io.CopyN(buffer, body, freeResponseBytes)
+		switch {
+		case err == io.EOF:
+			return buffer.Bytes(), nil
+		case err != nil:
+			return nil, err
+		case buffer.Len() > maxResponseBytes:
+			return nil, errors.Errorf("response body exceeds %d bytes", maxResponseBytes)
+		case !x.memory.reserve(n):
+			return nil, errors.New("no memory for the rest of the response body")
+		}
+	}
+}
+
 // readAll reads a body of at most limit bytes and fails if it is longer.
 func readAll(body io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -26,8 +26,9 @@
 		g.options.Log.Warn("set read deadline for request body failed; reading without one", "id", x.id, "error", err.Error())
 	}
 	var buffer bytes.Buffer
-	if n := x.caller.ContentLength; n > 0 {
-		if !x.reserveBody(n) {
+	reserved := max(0, x.caller.ContentLength)
+	if n := reserved; n > 0 {
+		if !x.memory.reserve(n) {
 			return newRefusal(outcomeNoRoom, defaultRetryAfter)
 		}
 		buffer.Grow(int(n) + bytes.MinRead)
@@ -38,8 +39,11 @@
 	}
 	for {
 		n, err := io.CopyN(&buffer, source, bodyChunk)
-		if extra := int64(buffer.Len()) - x.bodyBytes; extra > 0 && !x.reserveBody(extra) {
-			return newRefusal(outcomeNoRoom, defaultRetryAfter)
+		if extra := int64(buffer.Len()) - reserved; extra > 0 {
+			reserved += extra
+			if !x.memory.reserve(extra) {
+				return newRefusal(outcomeNoRoom, defaultRetryAfter)
+			}
 		}
 		if limit > 0 && int64(buffer.Len()) > limit {
 			return &response{status: http.StatusRequestEntityTooLarge, outcome: outcomeTooLarge}
@@ -65,12 +69,3 @@
 
 // bodyChunk is the number of bytes read between two checks of the memory limit.
 const bodyChunk = 64 << 10
-
-// reserveBody adds n bytes to the memory used by bodies. It reports false if that
-// exceeds Options.BodyBytes; the bytes are counted even then, until releaseBody.
-func (x *exchange) reserveBody(n int64) bool {
-	x.bodyBytes += n
-	return x.gateway.bodyBytes.Add(n) <= x.gateway.options.BodyBytes
-}
-
-func (x *exchange) releaseBody() { x.gateway.bodyBytes.Add(-x.bodyBytes) }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,7 +44,7 @@
 	view       *catalog.View
 	request    placement.Request
 	body       []byte
-	bodyBytes  int64 // counted in Gateway.bodyBytes for this body
+	memory     memoryHold // for the bodies of the request and of responses
 	attempts   []*attempt
 	response   *response
 	writeErr   error
@@ -79,7 +79,6 @@
 		return &response{status: http.StatusNotFound, outcome: outcomeNoRoute}
 	}
 	x.setDeadline(route)
-	defer x.releaseBody()
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,7 @@
 	client           *transport.Client
 	stopping         atomic.Bool
 	refusing         atomic.Bool
-	bodyBytes        atomic.Int64  // request bodies in memory
+	memory           memoryLimit   // bodies in memory
 	connectionLimits sync.Map      // by address, int
 	probes           atomic.Uint64 // sent so far, numbers their IDs
 	inFlight         atomic.Int64
@@ -49,6 +49,7 @@
 	o.RemoteReportWait = cmp.Or(o.RemoteReportWait, defaultRemoteReportWait)
 	o.ConfigWait = cmp.Or(o.ConfigWait, defaultConfigWait)
 	g := &Gateway{options: o, scheduler: newScheduler(o), configured: make(chan struct{})}
+	g.memory.limit = o.BodyBytes
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
 		ConnectionLimit: g.connectionLimit})
 	return g
@@ -113,7 +114,8 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{gateway: g, caller: r, controller: http.NewResponseController(w),
-		arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID)}
+		arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID), memory: memoryHold{limit: &g.memory}}
+	defer x.memory.release()
 	resp := x.serve()
 	if resp != nil {
 		g.writeResponse(w, x, resp)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -37,7 +37,8 @@
 	// ProbesPerTarget limits the probes per second that a target gets from all
 	// instances together. 0: unlimited.
 	ProbesPerTarget float64
-	// BodyBytes limits the total size of request bodies in memory.
+	// BodyBytes limits the total size of the bodies of requests and responses in
+	// memory, without the first 64 KiB of each response.
 	BodyBytes int64
 	// LocalReportWait and RemoteReportWait limit the wait for load reports of
 	// targets in this failure domain and in others. Defaults: 6 ms and 12 ms.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -47,7 +47,7 @@
 // run handles calls until the context ends.
 func (s *scheduler) run(ctx context.Context) {
 	s.loop.Run(ctx, maintenanceInterval, func(now time.Duration) {
-		s.placer.SetProbeLimit(now, s.probesPerTarget, s.instances())
+		s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
 		s.expireReports(now)
 	})
 }
@@ -55,7 +55,7 @@
 func (s *scheduler) setTargets(services map[string][]*catalog.Target) {
 	s.loop.Post(func(now time.Duration) {
 		s.placer.SetTargets(now, services)
-		s.placer.SetProbeLimit(now, s.probesPerTarget, s.instances())
+		s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
 	})
 }
 
@@ -102,7 +102,7 @@
 // fresh reports of others. waiting is true for a request that has found no room.
 func (s *scheduler) sampleTargets(ctx context.Context, r *placement.Request, remote, waiting bool) (sample, error) {
 	return owner.Call(ctx, s.loop, func(now time.Duration) sample {
-		s.placer.SetProbeLimit(now, s.probesPerTarget, s.instances())
+		s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
 		targets, fresh := s.placer.Sample(now, r, remote, waiting)
 		return sample{targets: targets, fresh: fresh}
 	})
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -14,8 +14,9 @@
 // Placer chooses targets for the requests of one instance. It is not safe for
 // concurrent use: one goroutine owns it.
 type Placer struct {
-	domain string
-	random *rand.Rand
+	domain    string
+	instances int // of the fleet
+	random    *rand.Rand
 	// seed gives this instance its own order of targets.
 	seed      uint64
 	targets   map[catalog.Incarnation]*target
@@ -29,7 +30,7 @@
 
 // New returns a placer without targets for an instance in the failure domain.
 func New(domain string, random *rand.Rand) *Placer {
-	return &Placer{domain: domain, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
+	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
 		queues: make(map[string]*waitQueue)}
@@ -63,10 +64,12 @@
 	return h.Sum64()
 }
 
-// SetProbeLimit sets the limit of probes per target and second, summed over all
-// instances; 0 means no limit. The instance uses its share of it.
-func (p *Placer) SetProbeLimit(now time.Duration, perTarget float64, instances int) {
-	share := min(maxProbeShare, probeMargin/float64(max(1, instances)))
+// SetFleet sets the number of instances that share the targets, and the limit of
+// probes per target and second, summed over all instances; 0 means no limit. The
+// instance uses its share of the limit. Before the first call it is the only one.
+func (p *Placer) SetFleet(now time.Duration, instances int, perTarget float64) {
+	p.instances = max(1, instances)
+	share := min(maxProbeShare, probeMargin/float64(p.instances))
 	p.probes.setRate(now, share*perTarget*float64(len(p.targets)))
 }
 
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -13,10 +13,13 @@
 	// locally, since a local choice causes no traffic between failure domains.
 	localSample  = 4
 	remoteSample = 3
-	// subsetSize is the number of responsive targets of a service among which this
-	// instance chooses, for local and for remote targets each. It bounds the
-	// connections to large services and still leaves enough choice.
-	subsetSize = 16
+	// minSubset is the least number of responsive targets of a service among which an
+	// instance chooses, for local and for remote targets each. It leaves enough choice,
+	// and is small since connections that are rarely used are closed as idle.
+	minSubset = 8
+	// subsetsPerTarget is the mean number of instances that have a target in their
+	// subset. With less the load of targets would be uneven, and some would get none.
+	subsetsPerTarget = 8
 	// maxSharedAge is the age up to which the report of a target serves other requests
 	// than the one that it was probed for. The speed of a target changes within some
 	// ten milliseconds.
@@ -72,10 +75,11 @@
 // order of targets, so that the subset stays stable. Suspended targets are
 // returned only when there are no others.
 func (p *Placer) eligible(now time.Duration, r *Request, match func(*target) bool) []*target {
-	responsive := make([]*target, 0, subsetSize)
+	size := p.subsetSize(r.Service)
+	responsive := make([]*target, 0, size)
 	var suspended []*target
 	for _, t := range p.services[r.Service] {
-		if len(responsive) == subsetSize {
+		if len(responsive) == size {
 			break
 		}
 		switch {
@@ -93,6 +97,14 @@
 	return responsive
 }
 
+// subsetSize returns the number of targets of a service among which this instance
+// chooses.
+func (p *Placer) subsetSize(service string) int {
+	targets := len(p.services[service])
+	perInstance := (subsetsPerTarget*targets + p.instances - 1) / p.instances
+	return min(targets, max(minSubset, perInstance))
+}
+
 // Reported caches a load report of a target, unless a later one is known.
 func (p *Placer) Reported(r Report) {
 	if t := p.targets[r.Target.Incarnation()]; t != nil && r.At >= t.lastReport.At {
