Recognize late copies of a response in our own program; docs

The edge compares the request's identifier; the entry server does now, too, where the target copies it and the connection has served an earlier exchange. On a new connection a different value is accepted as before, since targets may use the header for something else (TestTargetAnswerPassesUnchanged). TestLateCopyOfAnAnswerIsNotTheNextAnswer fails without the change: "/echo/0" for "/echo/1".

--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -30,4 +30,18 @@
 	// response. A response with a different value belongs to an earlier request and
 	// is skipped. Empty: no check.
 	EchoHeader string
+	// EchoMayDiffer accepts a different value on a connection that has served no other
+	// exchange: there is no earlier request that the response could belong to, and
+	// targets may use the header for something else.
+	EchoMayDiffer bool
+}
+
+// isLate reports whether a response belongs to an earlier request. reused is true if
+// its connection has served an exchange before this one.
+func (a *Attempt) isLate(response *http.Response, reused bool) bool {
+	if a.EchoHeader == "" || a.EchoMayDiffer && !reused {
+		return false
+	}
+	echo := response.Header.Get(a.EchoHeader)
+	return echo != "" && echo != a.Header.Get(a.EchoHeader)
 }
--- a/transport/client.go
+++ b/transport/client.go
@@ -97,7 +97,7 @@
 	if conn.used {
 		c.counters.reused.Add(1)
 	}
-	conn.used = true
+	conn.reused, conn.used = conn.used, true
 	stop := context.AfterFunc(ctx, conn.abort)
 	response, failed := c.exchange(ctx, conn, a)
 	if failed != nil {
@@ -135,11 +135,10 @@
 func (c *Client) readResponse(conn *conn, a *Attempt) (*http.Response, error) {
 	for range maxLateResponses + 1 {
 		response, err := c.readHead(conn, a.Method)
-		if err != nil || a.EchoHeader == "" {
-			return response, err
+		if err != nil {
+			return nil, err
 		}
-		echo := response.Header.Get(a.EchoHeader)
-		if echo == "" || echo == a.Header.Get(a.EchoHeader) {
+		if !a.isLate(response, conn.reused) {
 			conn.keepAlive(response.Header)
 			return response, nil
 		}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -28,9 +28,10 @@
 	headBytesLeft int
 	limitHead     bool
 	// written is the number of bytes that the kernel accepted in this exchange.
-	written   int64
-	used      bool
-	idleSince time.Time
+	written int64
+	// used is true once an exchange was started, reused if an earlier one was.
+	used, reused bool
+	idleSince    time.Time
 	// idleLimit is the target's announced idle timeout minus idleMargin. Zero: the
 	// target has not announced one.
 	idleLimit time.Duration
