acceptqueue: answer requests that are read while a server shuts down

Traced: net/http closes a connection without an answer when its request has been read and Shutdown was called meanwhile (conn.serve returns if the server is shutting down). So a planned stop still cut requests of connections that were accepted just before it. Shutdown is called now only when no connection is new or active; before that, keep-alives are disabled and connections without a request are closed after 0.2 s.

--- a/internal/acceptqueue/doc.go
+++ b/internal/acceptqueue/doc.go
@@ -1,5 +1,5 @@
-// Package acceptqueue closes listeners without a reset of connections that callers
-// have opened but the program has not accepted yet.
+// Package acceptqueue stops HTTP servers without cutting requests that callers have
+// just sent.
 //
 // The kernel completes connections on its own and queues them. It resets those
 // that are still queued when the listener is closed; their callers may have sent a
--- a/internal/acceptqueue/listener_test.go
+++ b/internal/acceptqueue/listener_test.go
@@ -36,11 +36,12 @@
 			is.NoErr(err)
 			conns = append(conns, conn)
 		}
-		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		var open acceptqueue.Conns
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: open.StateChanged}
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(l) }()
 		is.NoErr(l.Drain(t.Context()))
-		is.NoErr(server.Shutdown(t.Context()))
+		is.NoErr(open.Shutdown(t.Context(), server))
 		is.Equal(<-served, http.ErrServerClosed)
 		for _, conn := range conns {
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/node/caller_conn.go
+++ b/node/caller_conn.go
@@ -40,7 +40,6 @@
 type callerListener struct {
 	net.Listener
 	limits func() catalog.Limits
-	conns  *callerConns
 }
 
 // Accept implements net.Listener. The idle timeout of the connection starts at once.
@@ -51,7 +50,6 @@
 	}
 	c := &callerConn{Conn: raw, limits: l.limits}
 	c.timer = time.AfterFunc(c.idleLimit(), c.expire)
-	l.conns.add(c)
 	return c, nil
 }
 
@@ -91,13 +89,6 @@
 	return defaultIdleTimeout
 }
 
-// expireUnused closes the connection if no byte of a request has been received.
-func (c *callerConn) expireUnused() {
-	if c.phase.CompareAndSwap(phaseIdle, phaseClosed) {
-		_ = c.Conn.Close() // as in expire
-	}
-}
-
 // expire closes the connection unless a request is being served. The timer calls it.
 func (c *callerConn) expire() {
 	if c.phase.CompareAndSwap(phaseIdle, phaseClosed) || c.phase.CompareAndSwap(phaseHeader, phaseClosed) {
--- a/node/caller_conn_test.go
+++ b/node/caller_conn_test.go
@@ -47,7 +47,7 @@
 	conns := new(callerConns)
 	server := &http.Server{Handler: handler, ConnState: conns.stateChanged} //nolint:gosec // callerListener limits the connections
 	go func() {
-		if err := server.Serve(&callerListener{Listener: l, limits: limits, conns: conns}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&callerListener{Listener: l, limits: limits}); !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("serve: %v", err)
 		}
 	}()
--- a/node/server.go
+++ b/node/server.go
@@ -51,7 +51,7 @@
 }
 
 func (s *server) serve() error {
-	err := s.http.Serve(&callerListener{Listener: s.queue, limits: s.limits, conns: s.conns}) // returns a non-nil error
+	err := s.http.Serve(&callerListener{Listener: s.queue, limits: s.limits}) // returns a non-nil error
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -65,8 +65,7 @@
 // shutdown closes the connections without a request and waits until the requests in progress are complete
 // or the context ends.
 func (s *server) shutdown(ctx context.Context) error {
-	s.conns.closeUnused() // net/http would wait up to five seconds for them
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.conns.Shutdown(ctx, s.http); err != nil {
 		return errors.Wrapf(err, "shut down %s", s.name)
 	}
 	return nil
--- a/node/server_test.go
+++ b/node/server_test.go
@@ -24,7 +24,7 @@
 		limits := func() catalog.Limits { return catalog.Limits{} }
 		l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 		s := newServer("callers", "", http.NotFoundHandler(), limits, slog.New(slog.DiscardHandler))
-		go func() { _ = s.http.Serve(&callerListener{Listener: l, limits: limits, conns: s.conns}) }() // ends with shutdown
+		go func() { _ = s.http.Serve(&callerListener{Listener: l, limits: limits}) }() // ends with shutdown
 		serverEnd, callerEnd := net.Pipe()
 		l.conns <- serverEnd
 		synctest.Wait()
--- a/serve.go
+++ b/serve.go
@@ -156,6 +156,8 @@
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond,
 		IdleTimeout:       time.Duration(limits.IdleTimeoutMillis) * time.Millisecond,
 		ErrorLog:          slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)} // errors caused by callers
+	conns := new(acceptqueue.Conns)
+	server.ConnState = conns.StateChanged
 	queue, err := acceptqueue.New(listener)
 	if err != nil {
 		return errors.Wrap(err, "serve callers")
@@ -170,7 +172,7 @@
 	case <-i.stopNow:
 	case <-taskCtx.Done():
 	}
-	err = i.leave(taskCtx, server, queue)
+	err = i.leave(taskCtx, server, queue, conns)
 	<-served // http.ErrServerClosed
 	return err
 }
@@ -178,7 +180,7 @@
 // leave carries out a planned stop: it announces that the instance is leaving,
 // waits until resolve responses have expired, accepts the connections that are still
 // queued, and then waits for the requests in flight up to the shutdown limit.
-func (i *Instance) leave(taskCtx context.Context, server *http.Server, queue *acceptqueue.Listener) error {
+func (i *Instance) leave(taskCtx context.Context, server *http.Server, queue *acceptqueue.Listener, conns *acceptqueue.Conns) error {
 	i.drain.Leave()
 	i.members.Leave()
 	i.events.RecordState(timeline.Event{Kind: timeline.InstanceLeaving})
@@ -199,7 +201,7 @@
 	if err := queue.Drain(limitCtx); err != nil {
 		i.log.Warn("drain of accepted connections is incomplete", "error", err.Error())
 	}
-	if server.Shutdown(limitCtx) == nil {
+	if conns.Shutdown(limitCtx, server) == nil {
 		i.drain.End()
 		i.recordStopped(0)
 		return nil
