placement: count own sends to targets without a report

Read at the end: a prediction without any report had the present time, so the requests in flight at the target were not counted, and the log and the learned curve took it for fresh. It has time 0 now. TestSendsCountWithoutAReport fails without the change.

--- a/node/server.go
+++ b/node/server.go
@@ -62,8 +62,8 @@
 // the listener.
 func (s *server) stopAccepting(ctx context.Context) error { return s.queue.Drain(ctx) }
 
-// shutdown closes the connections without a request and waits until the requests in progress are complete
-// or the context ends.
+// shutdown closes the connections without a request and waits until the requests in
+// progress are complete or the context ends.
 func (s *server) shutdown(ctx context.Context) error {
 	if err := s.conns.Shutdown(ctx, s.http); err != nil {
 		return errors.Wrapf(err, "shut down %s", s.name)
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -285,3 +285,20 @@
 		}
 	}
 }
+
+// Guards against sends that are not counted since no report of the target is known:
+// without probes an instance would fill one target beyond its slots.
+func TestSendsCountWithoutAReport(t *testing.T) {
+	is := is.New(t)
+	a := newTarget("a", "near")
+	p := newPlacer(a)
+	r := newRequest(2)
+	const now = time.Second
+	for range 3 { // of four slots, the saturation point
+		_, ok := p.Choose(now, r, p.PredictedReports(now, r), placement.RequireDeadline)
+		is.True(ok)
+		p.Sent(now, a.Incarnation())
+	}
+	_, ok := p.Choose(now, r, p.PredictedReports(now, r), placement.RequireDeadline)
+	is.True(!ok)
+}
--- a/placement/serviceload.go
+++ b/placement/serviceload.go
@@ -46,10 +46,11 @@
 
 // predict returns the load that a target probably has now, from its last report.
 // Within about the time of a request, in which the target completes what it ran,
-// the figures of the report approach the mean of its service.
+// the figures of the report approach the mean of its service. The prediction has the
+// time of that report, 0 if there is none, so that all later sends count.
 func (p *Placer) predict(now time.Duration, t *target, mean time.Duration) Report {
 	service := p.load(t.Service)
-	predicted := Report{Target: t.Target, At: now, Load: Load{Slots: max(1, t.Slots)}}
+	predicted := Report{Target: t.Target, Load: Load{Slots: max(1, t.Slots)}}
 	occupied, slowness := service.current(now)*float64(predicted.Load.Slots), 1/service.speed
 	if last := t.lastReport; last.Target != nil {
 		predicted.At, predicted.Load.Slots = last.At, max(1, last.Load.Slots)
