Say what placement decides now; update the fleet size in one place

The package comment of placement still described the fixed saturation point and the old wait; the scheduler passed the number of instances to the placer with the same call in three places. No behaviour changes.

--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -47,7 +47,7 @@
 // run handles calls until the context ends.
 func (s *scheduler) run(ctx context.Context) {
 	s.loop.Run(ctx, maintenanceInterval, func(now time.Duration) {
-		s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
+		s.updateFleet(now)
 		s.expireReports(now)
 	})
 }
@@ -55,10 +55,17 @@
 func (s *scheduler) setTargets(services map[string][]*catalog.Target) {
 	s.loop.Post(func(now time.Duration) {
 		s.placer.SetTargets(now, services)
-		s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
+		s.updateFleet(now)
 	})
 }
 
+// updateFleet passes the present number of instances to the placer. It runs in the
+// loop's goroutine, also before each sample, since an instance that has just started
+// soon learns of the others.
+func (s *scheduler) updateFleet(now time.Duration) {
+	s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
+}
+
 // setBudget replaces the retry budget. Existing shares take only its ratio and allowance.
 func (s *scheduler) setBudget(b RetryBudget) {
 	s.loop.Post(func(time.Duration) {
@@ -102,7 +109,7 @@
 // fresh reports of others. waiting is true for a request that has found no room.
 func (s *scheduler) sampleTargets(ctx context.Context, r *placement.Request, remote, waiting bool) (sample, error) {
 	return owner.Call(ctx, s.loop, func(now time.Duration) sample {
-		s.placer.SetFleet(now, s.instances(), s.probesPerTarget)
+		s.updateFleet(now)
 		targets, fresh := s.placer.Sample(now, r, remote, waiting)
 		return sample{targets: targets, fresh: fresh}
 	})
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -7,13 +7,15 @@
 // requests that the target runs and queues, the speed of its machine, the
 // requests sent since the report, its warm-up and its recent failures.
 //
-// The throughput of some targets falls when they are nearly full, so ordinary
-// requests use a target only up to this saturation point; urgent requests may
-// use all its slots. A request that finds no room waits and tries again at short
-// intervals while it can be answered within its objective. After that, any target
-// that can respond before the deadline is accepted, and the request is refused if
-// none is found soon. This covers load above the capacity of the targets that
-// lasts for seconds, such as a load peak while some targets are missing.
+// The throughput of some targets falls when they are nearly full. The number of
+// requests with the highest throughput, the saturation point, is learned for each
+// service. Ordinary and late requests use a target only up to this point; urgent ones
+// that can still be on time may use all its slots. A request that finds no room waits
+// and tries again at short intervals, for a part of the time in which it can meet its
+// objective and only if the requests that wait already leave room for it; otherwise it
+// is refused. Without a probe budget the load of targets is predicted. This covers load
+// above the capacity of the targets that lasts for seconds, such as a load peak while
+// some targets are missing.
 //
 // Placer holds the state. Times are on the monotonic clock of the instance.
 package placement
