node: log requests on connections that a time limit closed

A request that gets no answer looks the same in the log whether the caller closed the connection or a time limit of the instance did. Connections that a limit closes are counted by limit, a request that is read from one is logged, and the line about a new configuration has its time limits.

No behaviour of connections changes.

--- a/fleet/task.go
+++ b/fleet/task.go
@@ -260,7 +260,8 @@
 		t.builder.SetTarget(r.Key, nil)
 	case config != nil:
 		accepted := t.builder.SetConfig(config)
-		t.options.Log.Info("configuration received", "version", config.Version, "revision", r.Revision, "in_force", accepted)
+		t.options.Log.Info("configuration received", "version", config.Version, "revision", r.Revision, "in_force", accepted,
+			"idle_timeout_ms", config.Limits.IdleTimeout.Milliseconds(), "header_timeout_ms", config.Limits.HeaderTimeout.Milliseconds())
 	case target != nil:
 		t.builder.SetTarget(r.Key, target)
 		t.options.Log.Info("target reported", "target", target.ID, "address", target.Address, "service", target.Service,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -20,6 +20,7 @@
 	tagPool    = "pool"
 	tagKind    = "kind"
 	tagOutcome = "outcome"
+	tagLimit   = "limit"
 )
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -30,6 +31,7 @@
 	requests *tagged[tally.Counter]
 	refusals *tagged[tally.Counter]
 	attempts *tagged[tally.Counter]
+	expired  *tagged[tally.Counter]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
 }
@@ -58,6 +60,9 @@
 	m.attempts = newTagged(func(outcome string) tally.Counter {
 		return scope.Tagged(map[string]string{tagOutcome: outcome}).Counter("attempts_total")
 	})
+	m.expired = newTagged(func(limit string) tally.Counter {
+		return scope.Tagged(map[string]string{tagLimit: limit}).Counter("connections_expired_total")
+	})
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
 		return scope.Tagged(map[string]string{tagRoute: route}).Histogram("request_seconds", latencyBuckets)
@@ -80,6 +85,9 @@
 // Attempt counts a finished attempt by outcome.
 func (m *Metrics) Attempt(outcome string) { m.attempts.get(outcome).Inc(1) }
 
+// ConnectionExpired counts a caller's connection that was closed because of a limit.
+func (m *Metrics) ConnectionExpired(limit string) { m.expired.get(limit).Inc(1) }
+
 // Gauge sets a gauge of the instance. The first 1024 names are kept apart; further
 // names share one gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.gauges.get(name).Update(value) }
--- a/node/caller_conn.go
+++ b/node/caller_conn.go
@@ -26,8 +26,21 @@
 	limits func() catalog.Limits
 	timer  *time.Timer
 	phase  atomic.Int32
+	// expired is called when the connection is closed because of a limit.
+	expired func(expiry)
+	// closedBy is the limit that closed the connection, empty if none did.
+	closedBy atomic.Value
 }
 
+// expiry is the limit that a connection exceeded, as written to logs and metrics.
+type expiry string
+
+// Limits that close a connection.
+const (
+	expiryIdle   expiry = "idle"
+	expiryHeader expiry = "header"
+)
+
 // Phases of a connection. Only phaseIdle and phaseHeader have a time limit here.
 const (
 	phaseIdle   int32 = iota // no byte of the next request has been received
@@ -39,7 +52,8 @@
 // callerListener wraps the connections that it accepts in a callerConn.
 type callerListener struct {
 	net.Listener
-	limits func() catalog.Limits
+	limits  func() catalog.Limits
+	expired func(expiry)
 }
 
 // Accept implements net.Listener. The idle timeout of the connection starts at once.
@@ -48,7 +62,7 @@
 	if err != nil {
 		return nil, err // not wrapped: net/http checks for temporary errors and retries
 	}
-	c := &callerConn{Conn: raw, limits: l.limits}
+	c := &callerConn{Conn: raw, limits: l.limits, expired: l.expired}
 	c.timer = time.AfterFunc(c.idleLimit(), c.expire)
 	return c, nil
 }
@@ -91,7 +105,14 @@
 
 // expire closes the connection unless a request is being served. The timer calls it.
 func (c *callerConn) expire() {
-	if c.phase.CompareAndSwap(phaseIdle, phaseClosed) || c.phase.CompareAndSwap(phaseHeader, phaseClosed) {
-		_ = c.Conn.Close() // the caller sees the close; there is nobody to report an error to
+	reason := expiryIdle
+	if !c.phase.CompareAndSwap(phaseIdle, phaseClosed) {
+		reason = expiryHeader
+		if !c.phase.CompareAndSwap(phaseHeader, phaseClosed) {
+			return
+		}
 	}
+	c.closedBy.Store(reason)
+	_ = c.Conn.Close() // the caller sees the close; there is nobody to report an error to
+	c.expired(reason)
 }
--- a/node/caller_conn_test.go
+++ b/node/caller_conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -44,10 +45,10 @@
 		time.Sleep(time.Minute) // longer than both limits, which don't apply to a request in progress
 		_, _ = io.Copy(w, r.Body)
 	})
-	conns := new(callerConns)
+	conns := &callerConns{log: slog.New(slog.DiscardHandler)}
 	server := &http.Server{Handler: handler, ConnState: conns.stateChanged} //nolint:gosec // callerListener limits the connections
 	go func() {
-		if err := server.Serve(&callerListener{Listener: l, limits: limits}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&callerListener{Listener: l, limits: limits, expired: func(expiry) {}}); !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("serve: %v", err)
 		}
 	}()
--- a/node/caller_conns.go
+++ b/node/caller_conns.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 
@@ -8,8 +9,11 @@
 )
 
 // callerConns tracks the connections of a server and stops the timers of those that
-// serve a request. The zero value is empty. It is safe for concurrent use.
-type callerConns struct{ acceptqueue.Conns }
+// serve a request. log must be set. It is safe for concurrent use.
+type callerConns struct {
+	acceptqueue.Conns
+	log *slog.Logger
+}
 
 // stateChanged is the ConnState hook of the servers. net/http reports a connection as
 // active from the end of a request's header to the end of its response; the limits
@@ -23,6 +27,10 @@
 	switch state {
 	case http.StateActive:
 		c.timer.Stop()
+		if reason, ok := c.closedBy.Load().(expiry); ok {
+			s.log.Warn("request read from a connection that a limit has closed, it cannot be answered",
+				"caller", conn.RemoteAddr().String(), "limit", string(reason))
+		}
 		c.phase.CompareAndSwap(phaseIdle, phaseServed)
 		c.phase.CompareAndSwap(phaseHeader, phaseServed)
 	case http.StateIdle:
--- a/node/node.go
+++ b/node/node.go
@@ -104,13 +104,13 @@
 	}
 	resolve := func(o gateway.Locality) ([]string, time.Duration) { return n.resolver.resolve(n.fleet.Snapshot(), o) }
 	n.servers = []*server{
-		newServer("callers", s.Addresses.Callers, n.gateway, n.limits, n.options.Log),
-		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.limits, n.options.Log),
-		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.limits, n.options.Log),
+		newServer("callers", s.Addresses.Callers, n.gateway, n.limits, n.connectionExpired, n.options.Log),
+		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.limits, n.connectionExpired, n.options.Log),
+		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.limits, n.connectionExpired, n.options.Log),
 	}
 	if n.options.MetricsPort > 0 {
 		address := net.JoinHostPort(host, strconv.Itoa(n.options.MetricsPort))
-		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.limits, n.options.Log))
+		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.limits, n.connectionExpired, n.options.Log))
 	}
 	for _, server := range n.servers {
 		if err := server.listen(); err != nil {
@@ -129,6 +129,9 @@
 	return catalog.Limits{}
 }
 
+// connectionExpired counts a caller's connection that a limit has closed.
+func (n *Node) connectionExpired(reason expiry) { n.metrics.ConnectionExpired(string(reason)) }
+
 // viewChanged notifies the gateway of a new view and returns whether the instance is
 // ready with it.
 func (n *Node) viewChanged() (ready bool) {
--- a/node/server.go
+++ b/node/server.go
@@ -31,11 +31,12 @@
 	http    *http.Server
 	queue   *acceptqueue.Listener
 	conns   *callerConns
+	expired func(expiry)
 }
 
-func newServer(name, address string, handler http.Handler, limits func() catalog.Limits, log *slog.Logger) *server {
-	conns := new(callerConns)
-	return &server{name: name, address: address, limits: limits, conns: conns, http: &http.Server{Handler: handler, ConnState: conns.stateChanged,
+func newServer(name, address string, handler http.Handler, limits func() catalog.Limits, expired func(expiry), log *slog.Logger) *server {
+	conns := &callerConns{log: log}
+	return &server{name: name, address: address, limits: limits, conns: conns, expired: expired, http: &http.Server{Handler: handler, ConnState: conns.stateChanged,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
 
@@ -51,7 +52,7 @@
 }
 
 func (s *server) serve() error {
-	err := s.http.Serve(&callerListener{Listener: s.queue, limits: s.limits}) // returns a non-nil error
+	err := s.http.Serve(&callerListener{Listener: s.queue, limits: s.limits, expired: s.expired}) // returns a non-nil error
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/node/server_test.go
+++ b/node/server_test.go
@@ -23,8 +23,8 @@
 		is := is.New(t)
 		limits := func() catalog.Limits { return catalog.Limits{} }
 		l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := newServer("callers", "", http.NotFoundHandler(), limits, slog.New(slog.DiscardHandler))
-		go func() { _ = s.http.Serve(&callerListener{Listener: l, limits: limits}) }() // ends with shutdown
+		s := newServer("callers", "", http.NotFoundHandler(), limits, func(expiry) {}, slog.New(slog.DiscardHandler))
+		go func() { _ = s.http.Serve(&callerListener{Listener: l, limits: limits, expired: func(expiry) {}}) }() // ends with shutdown
 		serverEnd, callerEnd := net.Pipe()
 		l.conns <- serverEnd
 		synctest.Wait()
