--- a/node/caller_conn_test.go
+++ b/node/caller_conn_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -37,15 +36,18 @@
 func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// slowEcho returns the request's body after a time that exceeds both limits, which do
+// not apply to a request in progress.
+func slowEcho(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(time.Minute)
+	_, _ = io.Copy(w, r.Body)
+}
+
 // dial returns the caller's end of a new connection to a server with these limits.
-func dial(t *testing.T, limits func() catalog.Limits) net.Conn {
+func dial(t *testing.T, limits func() catalog.Limits, handler http.HandlerFunc) net.Conn {
 	t.Helper()
 	l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(time.Minute) // longer than both limits, which don't apply to a request in progress
-		_, _ = io.Copy(w, r.Body)
-	})
-	conns := &callerConns{log: slog.New(slog.DiscardHandler)}
+	conns := new(callerConns)
 	server := &http.Server{Handler: handler, ConnState: conns.stateChanged} //nolint:gosec // callerListener limits the connections
 	go func() {
 		if err := server.Serve(&callerListener{Listener: l, limits: limits, expired: func(expiry) {}}); !errors.Is(err, http.ErrServerClosed) {
@@ -104,7 +106,7 @@
 				if test.afterRequest {
 					inForce.Store(&catalog.Limits{}) // in force when the connection is opened
 				}
-				conn := dial(t, func() catalog.Limits { return *inForce.Load() })
+				conn := dial(t, func() catalog.Limits { return *inForce.Load() }, slowEcho)
 				if test.afterRequest {
 					send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 					inForce.Store(&test.limits)
@@ -118,3 +120,49 @@
 		})
 	}
 }
+
+// Guards against closing a connection by an idle limit that was raised meanwhile: its
+// caller relies on the limit in force and sends a request.
+func TestRaisedIdleLimitAppliesToIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limits := catalog.Limits{IdleTimeout: 5 * time.Second}
+		var inForce atomic.Pointer[catalog.Limits]
+		inForce.Store(&limits)
+		conn := dial(t, func() catalog.Limits { return *inForce.Load() }, func(http.ResponseWriter, *http.Request) {})
+		time.Sleep(4 * time.Second)
+		inForce.Store(&catalog.Limits{IdleTimeout: 15 * time.Second})
+		time.Sleep(8 * time.Second)
+		send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.Equal(timeUntilClose(t, conn), 15*time.Second)
+	})
+}
+
+// Guards against a connection that its time limit closes while the next request is
+// read: the request is forwarded and its caller gets no answer.
+func TestRequestAtTheIdleLimitIsAnsweredOrNotRead(t *testing.T) {
+	const rounds = 500
+	limits := catalog.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	answered, closed := 0, 0
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var served atomic.Int32
+			conn := dial(t, func() catalog.Limits { return limits }, func(http.ResponseWriter, *http.Request) { served.Add(1) })
+			time.Sleep(limits.IdleTimeout)
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") // fails if the connection is closed
+			if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				is.Equal(response.StatusCode, http.StatusOK)
+				answered++
+				return
+			}
+			synctest.Wait()
+			is.Equal(served.Load(), int32(0))
+			closed++
+		})
+	}
+	t.Logf("%d answered, %d closed before the request was read", answered, closed)
+}
--- a/node/server.go
+++ b/node/server.go
@@ -35,7 +35,7 @@
 }
 
 func newServer(name, address string, handler http.Handler, limits func() catalog.Limits, expired func(expiry), log *slog.Logger) *server {
-	conns := &callerConns{log: log}
+	conns := new(callerConns)
 	return &server{name: name, address: address, limits: limits, conns: conns, expired: expired, http: &http.Server{Handler: handler, ConnState: conns.stateChanged,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
