acceptqueue: let only the reader of a connection end it at a planned stop

What callers saw: at the end of a planned stop, a request on a kept connection was read and served and its connection closed without an answer.

Change: the stop sets a read deadline in the past, and the reader of the connection ends it unless it has received a request, which is then answered. A connection that becomes idle later is closed by its own goroutine. net/http closes idle connections only when there are none.

--- a/internal/acceptqueue/shutdown.go
+++ b/internal/acceptqueue/shutdown.go
@@ -18,19 +18,22 @@
 	pollInterval = 2 * time.Millisecond
 )
 
-// Conns tracks the connections of a server. The zero value is empty. It is safe for
-// concurrent use.
+// Conns tracks the connections of a server and ends them at a stop. The zero value is
+// empty. It is safe for concurrent use.
 type Conns struct {
 	mu     sync.Mutex
-	states map[net.Conn]http.ConnState // of those that are new or active
+	states map[net.Conn]http.ConnState // of the open connections
+	// stopping is true once Shutdown was called.
+	stopping bool
 }
 
-// StateChanged is the ConnState hook of the server.
+// StateChanged is the ConnState hook of the server, which calls it in the goroutine that
+// reads the connection.
 func (c *Conns) StateChanged(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
-	case http.StateNew, http.StateActive:
+	case http.StateNew, http.StateActive, http.StateIdle:
 		if c.states == nil {
 			c.states = make(map[net.Conn]http.ConnState)
 		}
@@ -38,40 +41,65 @@
 	default:
 		delete(c.states, conn)
 	}
+	if !c.stopping {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		_ = conn.SetReadDeadline(time.Time{}) // set by endWaits; fails only if the connection is closed
+	case http.StateIdle:
+		_ = conn.Close() // nothing of a next request has been read
+	}
+}
+
+// count returns the number of connections in a state.
+func (c *Conns) count(state http.ConnState) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.states {
+		if s == state {
+			n++
+		}
+	}
+	return n
 }
 
-// inState returns the connections in a state.
-func (c *Conns) inState(state http.ConnState) []net.Conn {
+// endWaits makes the reads of the connections in a state fail. Their readers then close
+// them, unless they have just received a request. A close from here could come after a
+// request was read and before it is served.
+func (c *Conns) endWaits(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []net.Conn
+	c.stopping = true
 	for conn, s := range c.states {
 		if s == state {
-			list = append(list, conn)
+			_ = conn.SetReadDeadline(time.Unix(0, 1)) // in the past; fails only if the connection is closed
 		}
 	}
-	return list
 }
 
 // Shutdown ends a server whose listener is drained. Requests in progress, and those that
 // connections accepted before it send at once, are answered; other connections are
 // closed. It returns an error if the context ends first.
 //
-// http.Server.Shutdown alone closes connections without an answer if it is called while
-// their request is being read, and waits five seconds for connections without a request.
+// http.Server.Shutdown and SetKeepAlivesEnabled close connections whose request is just
+// being read without an answer, and Shutdown waits five seconds for connections without a
+// request.
 func (c *Conns) Shutdown(ctx context.Context, server *http.Server) error {
-	server.SetKeepAlivesEnabled(false) // closes idle connections
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for started := time.Now(); ; {
-		unused := c.inState(http.StateNew)
+		// Repeated, since net/http sets a deadline of its own before it waits for a request.
+		c.endWaits(http.StateIdle)
 		if time.Since(started) >= firstRequestWait {
-			for _, conn := range unused {
-				_ = conn.Close() // its caller knows that no request was read
-			}
+			c.endWaits(http.StateNew)
 		}
-		if len(unused) == 0 && len(c.inState(http.StateActive)) == 0 {
-			break
+		if waiting := c.count(http.StateIdle) + c.count(http.StateNew); waiting == 0 {
+			server.SetKeepAlivesEnabled(false) // closes idle connections, of which there are none
+			if c.count(http.StateActive) == 0 {
+				break
+			}
 		}
 		select {
 		case <-ticker.C:
