callerconn: end idle connections only by their reader, in both programs

A part of a header that arrived before the stop was answered with 400, or was taken for a whole line when the rest came more than a millisecond later, so that the request was served with other content. A response after the stop began did not announce the close. The program of our own interface had its idle connections closed by a read deadline that net/http could overwrite.

Cause: the stop used the read deadline of the connection as its message, which the server uses, too, and which bufio forgets when it holds a part of a line.

Change: the connection itself defers a close that comes while its reader waits for a request or has received a part of it. What net/http closes at a stop is then always ended by the reader: an idle wait at once, a header after at most 0.2 s, a request after its response. The stop is the one of net/http again and waits for all connections. The type, the accept queue and the stop are one package, internal/callerconn (before: node and internal/acceptqueue), which both programs use; the time limits of dogwoodrouted move there from net/http.

TestPartOfAHeaderAtTheStop plays all cuts with the rest missing, after 0.5, 1.5 and 150 ms.

The tests of node's connections move to the package. Those of its defaults become TestConnectionLimits; one case ("one byte") takes the place of the connection without a configured header limit.

--- a/internal/acceptqueue/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,4 +1,4 @@
-package acceptqueue
+package callerconn
 
 import (
 	"context"
--- a/internal/acceptqueue/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -1,4 +1,4 @@
-package acceptqueue_test
+package callerconn_test
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/dogwoodroute/dogwoodroute/internal/acceptqueue"
+	"github.com/dogwoodroute/dogwoodroute/internal/callerconn"
 )
 
 // stops is the number of stops played in a row; a reset of queued connections shows
@@ -26,7 +26,7 @@
 	for range stops {
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
-		l, err := acceptqueue.New(raw)
+		l, err := callerconn.New(raw)
 		is.NoErr(err)
 		var conns []net.Conn
 		for range queued {
@@ -36,10 +36,10 @@
 			is.NoErr(err)
 			conns = append(conns, conn)
 		}
-		var open acceptqueue.Conns
+		open := callerconn.NewConns(func() callerconn.Limits { return callerconn.Limits{} }, nil)
 		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: open.StateChanged}
 		served := make(chan error, 1)
-		go func() { served <- server.Serve(l) }()
+		go func() { served <- server.Serve(open.Listener(l)) }()
 		is.NoErr(l.Drain(t.Context()))
 		is.NoErr(open.Shutdown(t.Context(), server))
 		is.Equal(<-served, http.ErrServerClosed)
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l, err := acceptqueue.New(raw)
+	l, err := callerconn.New(raw)
 	is.NoErr(err)
 	accepted := make(chan error, 1)
 	go func() {
--- a/node/node.go
+++ b/node/node.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
+	"github.com/dogwoodroute/dogwoodroute/internal/callerconn"
 	"github.com/dogwoodroute/dogwoodroute/metrics"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
@@ -104,13 +104,13 @@
 	}
 	resolve := func(o gateway.Locality) ([]string, time.Duration) { return n.resolver.resolve(n.fleet.Snapshot(), o) }
 	n.servers = []*server{
-		newServer("callers", s.Addresses.Callers, n.gateway, n.limits, n.connectionExpired, n.options.Log),
-		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.limits, n.connectionExpired, n.options.Log),
-		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.limits, n.connectionExpired, n.options.Log),
+		newServer("callers", s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
+		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.newConns(), n.options.Log),
+		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.newConns(), n.options.Log),
 	}
 	if n.options.MetricsPort > 0 {
 		address := net.JoinHostPort(host, strconv.Itoa(n.options.MetricsPort))
-		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.limits, n.connectionExpired, n.options.Log))
+		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.newConns(), n.options.Log))
 	}
 	for _, server := range n.servers {
 		if err := server.listen(); err != nil {
@@ -120,18 +120,13 @@
 	return nil
 }
 
-// limits returns the connection limits of the configuration in force, zero if there
-// is none.
-func (n *Node) limits() catalog.Limits {
-	if config := n.fleet.View().Config; config != nil {
-		return config.Limits
-	}
-	return catalog.Limits{}
+// newConns returns the connections of one server.
+func (n *Node) newConns() *callerconn.Conns {
+	return callerconn.NewConns(
+		func() callerconn.Limits { return connectionLimits(n.fleet.View().Config) },
+		func(limit callerconn.Expiry) { n.metrics.ConnectionExpired(string(limit)) })
 }
 
-// connectionExpired counts a caller's connection that a limit has closed.
-func (n *Node) connectionExpired(reason expiry) { n.metrics.ConnectionExpired(string(reason)) }
-
 // viewChanged notifies the gateway of a new view and returns whether the instance is
 // ready with it.
 func (n *Node) viewChanged() (ready bool) {
--- a/node/server.go
+++ b/node/server.go
@@ -9,8 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/dogwoodroute/dogwoodroute/catalog"
-	"github.com/dogwoodroute/dogwoodroute/internal/acceptqueue"
+	"github.com/dogwoodroute/dogwoodroute/internal/callerconn"
 )
 
 const (
@@ -27,16 +26,13 @@
 type server struct {
 	name    string
 	address string
-	limits  func() catalog.Limits
 	http    *http.Server
-	queue   *acceptqueue.Listener
-	conns   *callerConns
-	expired func(expiry)
+	queue   *callerconn.Listener
+	conns   *callerconn.Conns
 }
 
-func newServer(name, address string, handler http.Handler, limits func() catalog.Limits, expired func(expiry), log *slog.Logger) *server {
-	conns := new(callerConns)
-	return &server{name: name, address: address, limits: limits, conns: conns, expired: expired, http: &http.Server{Handler: handler, ConnState: conns.stateChanged,
+func newServer(name, address string, handler http.Handler, conns *callerconn.Conns, log *slog.Logger) *server {
+	return &server{name: name, address: address, conns: conns, http: &http.Server{Handler: handler, ConnState: conns.StateChanged,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
 
@@ -45,14 +41,14 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.name)
 	}
-	if s.queue, err = acceptqueue.New(listener); err != nil {
+	if s.queue, err = callerconn.New(listener); err != nil {
 		return errors.Wrapf(err, "listen for %s", s.name)
 	}
 	return nil
 }
 
 func (s *server) serve() error {
-	err := s.http.Serve(&callerListener{Listener: s.queue, limits: s.limits, expired: s.expired}) // returns a non-nil error
+	err := s.http.Serve(s.conns.Listener(s.queue)) // returns a non-nil error
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/serve.go
+++ b/serve.go
@@ -13,7 +13,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/admin"
 	"github.com/dogwoodroute/dogwoodroute/entry"
-	"github.com/dogwoodroute/dogwoodroute/internal/acceptqueue"
+	"github.com/dogwoodroute/dogwoodroute/internal/callerconn"
 	"github.com/dogwoodroute/dogwoodroute/timeline"
 )
 
@@ -152,18 +152,17 @@
 	handler := entry.NewServer(entry.Options{View: i.view.Load, Resolve: i.resolve, Now: i.now,
 		Transport: i.transport, Limits: limits, Drain: &i.drain, Tickets: adapter, Once: adapter,
 		Guard: &poisonGuard{Instance: i}, Observer: observer{i}})
-	server := &http.Server{Handler: handler, MaxHeaderBytes: limits.HeaderBytes,
-		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond,
-		IdleTimeout:       time.Duration(limits.IdleTimeoutMillis) * time.Millisecond,
-		ErrorLog:          slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)} // errors caused by callers
-	conns := new(acceptqueue.Conns)
-	server.ConnState = conns.StateChanged
-	queue, err := acceptqueue.New(listener)
+	connLimits := callerconn.Limits{Idle: time.Duration(limits.IdleTimeoutMillis) * time.Millisecond,
+		Header: time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond}
+	conns := callerconn.NewConns(func() callerconn.Limits { return connLimits }, nil)
+	server := &http.Server{Handler: handler, MaxHeaderBytes: limits.HeaderBytes, ConnState: conns.StateChanged,
+		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)} // errors caused by callers
+	queue, err := callerconn.New(listener)
 	if err != nil {
 		return errors.Wrap(err, "serve callers")
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(queue) }()
+	go func() { served <- server.Serve(conns.Listener(queue)) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve callers")
@@ -180,7 +179,7 @@
 // leave carries out a planned stop: it announces that the instance is leaving,
 // waits until resolve responses have expired, accepts the connections that are still
 // queued, and then waits for the requests in flight up to the shutdown limit.
-func (i *Instance) leave(taskCtx context.Context, server *http.Server, queue *acceptqueue.Listener, conns *acceptqueue.Conns) error {
+func (i *Instance) leave(taskCtx context.Context, server *http.Server, queue *callerconn.Listener, conns *callerconn.Conns) error {
 	i.drain.Leave()
 	i.members.Leave()
 	i.events.RecordState(timeline.Event{Kind: timeline.InstanceLeaving})
