entry: give a caller that closed its sending side no empty success

What callers saw: dogwoodrouted answered 200 with an empty body, which is not the target's response, when a caller closed the sending side of its connection after the request and went on reading.

Cause: net/http ends the request's context at the end of the input, and the handler took that for a caller that is gone and returned without a response; net/http then answers 200. The gateway aborts the connection in this case.

Change: the exchange aborts the connection, too.

Evidence: TestCallerGoneGetsNoSuccess failed before (the response above) and passes now; the tests of entry pass with -race.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -102,8 +102,7 @@
 		case result := <-e.results:
 			e.handleResult(result)
 		case <-e.request.Context().Done():
-			e.observeCallerGone()
-			return
+			e.abortCallerGone()
 		case <-e.call.Done():
 			e.refuse(refusal.New(refusal.Leaving, "the pool was removed or the instance is ending"))
 			return
@@ -148,10 +147,13 @@
 	e.server.options.Observer.Refused(e.id, e.route, r, e.elapsed())
 }
 
-// observeCallerGone counts and reports that the caller has disconnected.
-func (e *exchange) observeCallerGone() {
+// abortCallerGone counts and reports that the caller has disconnected, and panics with
+// http.ErrAbortHandler: net/http would answer 200, and a caller that has only closed its
+// sending side would take that for the target's response.
+func (e *exchange) abortCallerGone() {
 	e.server.counters.abandoned.Add(1)
 	e.server.options.Observer.Canceled(e.id, e.route)
+	panic(http.ErrAbortHandler)
 }
 
 // elapsed returns the time since the request header had been read.
--- a/entry/response.go
+++ b/entry/response.go
@@ -43,8 +43,8 @@
 	case err == io.EOF, err == io.ErrUnexpectedEOF: // from ReadFull: the whole body is read; a truncated response gives a *transport.Error
 		e.writeBuffered(id, current.response, buffer[:n])
 	case err != nil && e.request.Context().Err() != nil:
-		e.observeCallerGone()
 		e.endAttempt(id, balancer.OutcomeCanceled)
+		e.abortCallerGone()
 	case err != nil:
 		e.endAttempt(id, balancer.OutcomeTruncated)
 		e.refuse(&refusal.Refusal{Kind: refusal.AttemptFailed, Execution: refusal.MayHaveRun,
