--- a/fleet/source.go
+++ b/fleet/source.go
@@ -18,6 +18,9 @@
 type Listing struct {
 	Records  []records.Record
 	Revision uint64
+	// Era counts how often the store was restored from an older copy. It is 0 if the
+	// store does not say.
+	Era uint64
 }
 
 // Source reads the store. Implementations are safe for concurrent use.
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -50,6 +50,7 @@
 	storeAnsweredAt    time.Duration      // time of the store's last answer
 	storeFailedAt      time.Duration      // time of the last failed call since the last answer, 0 if none
 	storeFailing       bool               // the last call to the store failed
+	storeEra           uint64             // era of the store's last answer
 	nextRound          time.Duration
 	round              int
 	exchanging         map[netip.Addr]bool       // peers with an exchange in progress
@@ -215,6 +216,11 @@
 		t.options.Log.Info("store answers again", "revision", result.listing.Revision, "down_ms", (now - t.storeAnsweredAt).Milliseconds())
 	}
 	t.storeFailing, t.storeFailedAt, t.storeAnsweredAt = false, 0, now
+	if era := result.listing.Era; era != t.storeEra {
+		t.options.Log.Info("store is in another era", "era", era, "era_before", t.storeEra, "revision", result.listing.Revision,
+			"revision_before", t.set.Revision(), "listed", result.full, "records", len(result.listing.Records))
+		t.storeEra = era
+	}
 	first := t.set.Revision() == 0
 	var changed []records.Record
 	if result.full {
