Order the states of the store by era and revision

Callers got 404 on routes that had been added after the store came back from an older copy, and requests were handled by a version that was no longer in force, on all instances and until the store's revision had passed the one before the restore.

Cause: the store's revision alone was taken for the order of its states, in the set of records, between instances and in the readers. A restored store goes back and gives revisions out again, so its listing and its changes were dropped as not newer, and a watch from a revision that it has again returned only what came later.

The order is now records.Position: first the era (header Store-Era), then the revision. It is used by the set, the listing, the reader, the messages between instances (new field era), the broadcasts, what a peer is known to have, the cache of compressed changes and the view. A reader that sees a later era lists all records, and an answer of an earlier era is an error. Only a whole listing leads a set from one era to the next; its missing items count as lapses, since what was lost is written again. A peer that names no era, a build before this one, is taken to be in the receiver's.

Ruled out: readers that come back late (they had listed the restored store within 1.1 s), and a version that is refused (no such log line).

The changed signatures alter existing tests only in how they write a revision.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
 // LapseGrace is how long a target is kept after its entry expired while the store
@@ -89,10 +91,10 @@
 	return len(b.entries) != before
 }
 
-// Build returns a view of the current state. revision is the store's revision up to
-// which the state is complete.
-func (b *Builder) Build(now time.Duration, revision uint64) *View {
-	v := &View{Config: b.config, Routes: b.matcher, Targets: make(map[string][]*Target), Revision: revision, BuiltAt: now}
+// Build returns a view of the current state. position is the position in the store's
+// history up to which the state is complete.
+func (b *Builder) Build(now time.Duration, position records.Position) *View {
+	v := &View{Config: b.config, Routes: b.matcher, Targets: make(map[string][]*Target), Position: position, BuiltAt: now}
 	for _, e := range b.entries {
 		if !e.target.Draining {
 			v.Targets[e.target.Service] = append(v.Targets[e.target.Service], e.target)
--- a/catalog/builder_test.go
+++ b/catalog/builder_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
 func target(id string, startUnixMS, sequence int64, draining bool) *catalog.Target {
@@ -29,7 +30,7 @@
 	is.True(!b.SetConfig(&catalog.Config{Version: 7}))
 	is.True(!b.SetConfig(&catalog.Config{Version: 5}))
 	is.True(b.SetConfig(&catalog.Config{Version: 12}))
-	is.Equal(b.Build(0, 1).Config.Version, int64(12))
+	is.Equal(b.Build(0, records.Position{}).Config.Version, int64(12))
 }
 
 // Guards against new requests for a target that drains or has an unreadable entry,
@@ -41,7 +42,7 @@
 	b.SetTarget("b", target("b", 1, 1, true))
 	b.SetTarget("c", target("c", 1, 1, false))
 	b.SetTarget("c", nil)
-	is.Equal(ids(b.Build(0, 1)), []string{"a"})
+	is.Equal(ids(b.Build(0, records.Position{})), []string{"a"})
 }
 
 // Guards against a delayed registration that makes a draining target ready again,
@@ -53,9 +54,9 @@
 	b.SetTarget("a", target("a", 100, 9, true))
 	b.SetTarget("a", target("a", 100, 8, false)) // delayed
 	b.SetTarget("a", target("a", 99, 50, false)) // earlier incarnation
-	is.Equal(ids(b.Build(0, 1)), []string{})
+	is.Equal(ids(b.Build(0, records.Position{})), []string{})
 	b.SetTarget("a", target("a", 200, 1, false)) // restarted
-	is.Equal(ids(b.Build(0, 1)), []string{"a"})
+	is.Equal(ids(b.Build(0, records.Position{})), []string{"a"})
 }
 
 // Guards against the loss of running targets whose entries expired while the store
@@ -70,10 +71,10 @@
 	b.Remove(now, "a", true)
 	b.Remove(now, "b", true) // was draining
 	b.Remove(now, "c", false)
-	is.Equal(ids(b.Build(now, 1)), []string{"a"})
+	is.Equal(ids(b.Build(now, records.Position{})), []string{"a"})
 	is.True(!b.Expire(now + catalog.LapseGrace - 1))
 	is.True(b.Expire(now + catalog.LapseGrace))
-	is.Equal(ids(b.Build(now, 1)), []string{})
+	is.Equal(ids(b.Build(now, records.Position{})), []string{})
 }
 
 // Guards against deleting a target that registered again after its entry lapsed.
@@ -84,5 +85,5 @@
 	b.Remove(0, "a", true)
 	b.SetTarget("a", target("a", 1, 2, false))
 	is.True(!b.Expire(time.Hour))
-	is.Equal(ids(b.Build(0, 1)), []string{"a"})
+	is.Equal(ids(b.Build(0, records.Position{})), []string{"a"})
 }
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
+)
 
 // View is an immutable snapshot of the configuration and the targets that an
 // instance knows.
@@ -11,8 +15,8 @@
 	Routes *Matcher
 	// Targets holds the targets that accept new requests by service, sorted by ID.
 	Targets map[string][]*Target
-	// Revision is the store's revision up to which the view is complete.
-	Revision uint64
+	// Position is the position in the store's history up to which the view is complete.
+	Position records.Position
 	// BuiltAt is when the view was built, since the instance's start.
 	BuiltAt time.Duration
 }
--- a/fleet/broadcast.go
+++ b/fleet/broadcast.go
@@ -1,15 +1,19 @@
 package fleet
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
+)
 
 // broadcast is the broadcast that an exchange carries, in addition to the members
-// and the revision that every exchange contains. The zero value stands for a plain
+// and the position that every exchange contains. The zero value stands for a plain
 // exchange.
 type broadcast struct {
-	// sendChanges is true if the exchange contains the changes after revision
-	// changesAfter, which the peer probably lacks.
+	// sendChanges is true if the exchange contains the changes after changesAfter, which
+	// the peer probably lacks.
 	sendChanges  bool
-	changesAfter uint64
+	changesAfter records.Position
 	// relay are the instances to which the peer forwards the broadcast.
 	relay []netip.Addr
 }
@@ -17,7 +21,7 @@
 // merge adds another broadcast for the same peer.
 func (b *broadcast) merge(other broadcast) {
 	if other.sendChanges {
-		if !b.sendChanges || other.changesAfter < b.changesAfter {
+		if !b.sendChanges || other.changesAfter.Compare(b.changesAfter) < 0 {
 			b.changesAfter = other.changesAfter
 		}
 		b.sendChanges = true
--- a/fleet/dissemination.go
+++ b/fleet/dissemination.go
@@ -55,11 +55,11 @@
 		case reach == scopeFew:
 			t.forward(now, broadcast{relay: list[:min(fanout, len(list))]}, fanout)
 		case reach == scopeFleet || domain == t.options.Domain:
-			t.forward(now, broadcast{sendChanges: true, changesAfter: t.broadcastRevision, relay: list}, fanout)
+			t.forward(now, broadcast{sendChanges: true, changesAfter: t.broadcastPosition, relay: list}, fanout)
 		}
 	}
 	if reach != scopeFew {
-		t.broadcastRevision = t.set.Revision()
+		t.broadcastPosition = t.set.Position()
 	}
 }
 
@@ -104,14 +104,14 @@
 		t.scheduleBroadcast(scopeFleet)
 		return
 	}
-	revision := t.set.Revision()
+	position := t.set.Position()
 	// The query contains no changes: the first reader must have them from the store.
-	query := &peerapi.FleetState{Self: memberMessage(t.roster.self), Revision: revision}
+	query := &peerapi.FleetState{Self: memberMessage(t.roster.self), Era: position.Era, Revision: position.Revision}
 	t.send(conn, query, func(now time.Duration, answer *peerapi.FleetState, err error) {
 		if err == nil {
 			t.merge(now, answer)
 		}
-		if err != nil || answer.GetRevision() < revision {
+		if err != nil || t.positionFromMessage(answer).Compare(position) < 0 {
 			t.scheduleBroadcast(scopeFleet)
 		}
 	})
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -142,7 +142,7 @@
 
 // contact starts an exchange with a peer that carries b. If an exchange with the peer is
 // in progress, b is queued for the next one. Changes are sent only if b.sendChanges is
-// set: otherwise the peer most likely has them, and if its revision is older, it
+// set: otherwise the peer most likely has them, and if its position is earlier, it
 // requests them with an exchange of its own.
 func (t *Task) contact(now time.Duration, ip netip.Addr, b broadcast) {
 	if t.exchanging[ip] {
@@ -160,8 +160,8 @@
 		return
 	}
 	known := b.changesAfter
-	if p := t.roster.peers[ip]; p != nil {
-		known = max(known, p.revision)
+	if p := t.roster.peers[ip]; p != nil && p.position.Compare(known) > 0 {
+		known = p.position
 	}
 	state := t.stateFor(now, ip, known, b.sendChanges)
 	for _, other := range b.relay {
@@ -211,7 +211,7 @@
 		return
 	}
 	if failures == 0 {
-		if t.set.Revision() == 0 && slices.Contains(t.options.Seeds, ip) { // the whole fleet may be starting
+		if t.set.Empty() && slices.Contains(t.options.Seeds, ip) { // the whole fleet may be starting
 			time.AfterFunc(seedRetry, func() { t.loop.Post(func(now time.Duration) { t.contact(now, ip, broadcast{}) }) })
 		}
 		return
@@ -226,30 +226,31 @@
 	}
 }
 
-// stateFor returns the state to send to a peer whose records are complete up to revision
-// known. If changes is true, it contains the records that the peer lacks: all of them
-// if known is 0 or the history does not reach back to it.
-func (t *Task) stateFor(now time.Duration, to netip.Addr, known uint64, changes bool) *peerapi.FleetState {
-	s := &peerapi.FleetState{Self: memberMessage(t.roster.self), Revision: t.set.Revision()}
+// stateFor returns the state to send to a peer whose records are complete up to known.
+// If changes is true, it contains the records that the peer lacks: all of them if it has
+// none or the history does not reach back to known.
+func (t *Task) stateFor(now time.Duration, to netip.Addr, known records.Position, changes bool) *peerapi.FleetState {
+	position := t.set.Position()
+	s := &peerapi.FleetState{Self: memberMessage(t.roster.self), Era: position.Era, Revision: position.Revision}
 	for _, m := range t.roster.memberUpdates(now, to) {
 		s.Members = append(s.Members, memberMessage(m))
 	}
 	for _, report := range t.failureReports.next(len(t.roster.peers), to, t.isRemote(to)) {
 		s.Strikes = append(s.Strikes, reportMessage(now, report))
 	}
-	if !changes || known >= t.set.Revision() {
+	if !changes || known.Compare(position) >= 0 {
 		return s
 	}
 	list, ok := t.set.Since(known)
-	if !ok || known == 0 {
-		known, list, s.Full = 0, t.set.All(), true
+	if !ok || known.Revision == 0 {
+		known, list, s.Full = records.Position{}, t.set.All(), true
 	}
-	if err := t.packer.put(s, list, known, t.set.Revision()); err != nil { // the peer gets the records from another instance
+	if err := t.packer.put(s, list, known.Revision, position); err != nil { // the peer gets the records from another instance
 		t.options.Log.Error("cannot encode records, sending state to peer without them", "error", err.Error())
 		s.Full = false
 		return s
 	}
-	s.ChangesAfter, s.HasChanges = known, true
+	s.ChangesAfter, s.HasChanges = known.Revision, true
 	return s
 }
 
@@ -266,7 +267,7 @@
 	}
 	t.roster.merge(now, sender, true)
 	if p := t.roster.peers[sender.IP]; p != nil {
-		p.revision = s.GetRevision()
+		p.position = t.positionFromMessage(s)
 	}
 	for _, m := range s.GetMembers() {
 		if member := memberFromMessage(m); t.roster.merge(now, member, false) && !t.exchanging[member.IP] {
@@ -281,9 +282,9 @@
 	t.mergeFailureReports(now, s, sender.IP)
 	t.mergeRecords(now, s, sender.IP)
 	if relay := addressesFromNumbers(s.GetRelay()); len(relay) > 0 {
-		t.pendingRelay.merge(broadcast{sendChanges: s.GetHasChanges(), changesAfter: s.GetChangesAfter(), relay: relay})
+		t.pendingRelay.merge(broadcast{sendChanges: s.GetHasChanges(), changesAfter: t.changesAfterFromMessage(s), relay: relay})
 	}
-	if len(t.pendingRelay.relay) > 0 && t.set.Revision() >= s.GetRevision() {
+	if len(t.pendingRelay.relay) > 0 && t.set.Position().Compare(t.positionFromMessage(s)) >= 0 {
 		due := t.pendingRelay
 		t.pendingRelay = broadcast{}
 		t.forward(now, due, treeFanout)
@@ -310,13 +311,15 @@
 	}
 }
 
-// mergeRecords applies the changes that a peer sent, if it has a later revision. If
-// changes are missing between the two revisions, it requests them from the peer.
+// mergeRecords applies the changes that a peer sent, if it has a later position. If
+// changes are missing between the two positions, it requests them from the peer.
 func (t *Task) mergeRecords(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
-	if s.GetRevision() <= t.set.Revision() {
+	before, position := t.set.Position(), t.positionFromMessage(s)
+	if position.Compare(before) <= 0 {
 		return
 	}
-	if !s.GetHasChanges() || !s.GetFull() && s.GetChangesAfter() > t.set.Revision() {
+	after := t.changesAfterFromMessage(s)
+	if !s.GetHasChanges() || !s.GetFull() && (after.Era != before.Era || after.Compare(before) > 0) {
 		t.contact(now, sender, broadcast{}) // its answer contains the missing records
 		return
 	}
@@ -327,15 +330,28 @@
 	}
 	var changed []records.Record
 	if s.GetFull() {
-		changed = t.set.Replace(list, s.GetRevision(), false)
+		changed = t.set.Replace(list, position, false)
 	} else {
-		changed = t.set.Apply(list, s.GetRevision())
+		changed = t.set.Apply(list, position)
 	}
-	if len(changed) == 0 {
+	if len(changed) == 0 && position.Era == before.Era {
 		return
 	}
+	t.logEra(before, changed)
 	t.apply(now, changed)
 	if len(s.GetRelay()) == 0 && t.isRemote(sender) {
 		t.scheduleBroadcast(scopeDomain) // this failure domain probably missed the broadcast
 	}
 }
+
+// positionFromMessage returns the position up to which a peer's records are complete. A
+// peer that names no era is taken to be in this instance's.
+func (t *Task) positionFromMessage(s *peerapi.FleetState) records.Position {
+	return records.Position{Era: s.GetEra(), Revision: s.GetRevision()}.WithDefaultEra(t.set.Position().Era)
+}
+
+// changesAfterFromMessage returns the position after which the changes in a message begin,
+// in the same era as the position up to which they are complete.
+func (t *Task) changesAfterFromMessage(s *peerapi.FleetState) records.Position {
+	return records.Position{Era: t.positionFromMessage(s).Era, Revision: s.GetChangesAfter()}
+}
--- a/fleet/exchange_fuzz_test.go
+++ b/fleet/exchange_fuzz_test.go
@@ -38,6 +38,7 @@
 		{},
 		{Self: member, Members: []*peerapi.FleetMember{member, {Ip: numberFromAddress(self), Incarnation: 7, Heartbeat: 1 << 31, Flags: 1<<32 - 1}}},
 		{Self: member, Revision: 1<<64 - 1, HasChanges: true, Full: true, Changes: []*peerapi.FleetRecord{{Key: "t", Revision: 1<<64 - 1, Deleted: true}, {}}},
+		{Self: member, Era: 1<<64 - 1, Revision: 1, HasChanges: true, Full: true, Changes: []*peerapi.FleetRecord{{Key: "t", Revision: 2}}},
 		{Self: member, HasChanges: true, ChangesAfter: 1<<64 - 1, PackedChanges: packed, Relay: []uint32{0, 1<<32 - 1}},
 		{Self: member, HasChanges: true, PackedChanges: packed[:len(packed)/2]},
 		{Strikes: []*peerapi.FleetStrike{{}, {Request: make([]byte, 16), AgeMs: 1<<32 - 1}}},
@@ -72,7 +73,7 @@
 		for range 2 {
 			now += time.Second
 			task.merge(now, &state)
-			task.stateFor(now, addressFromNumber(state.GetSelf().GetIp()), state.GetRevision(), true)
+			task.stateFor(now, addressFromNumber(state.GetSelf().GetIp()), task.positionFromMessage(&state), true)
 			task.tick(now)
 		}
 		task.loop.Run(ended, time.Hour, func(time.Duration) {}) // releases what waits for the loop
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,13 +36,14 @@
 	records  map[string]records.Record
 	events   []records.Record
 	revision uint64
+	era      uint64
 	calls    map[string]int // number of calls by reader
 	refused  map[string]bool
 	changed  chan struct{}
 }
 
 func newStore() *store {
-	return &store{records: make(map[string]records.Record), revision: 1, calls: make(map[string]int),
+	return &store{records: make(map[string]records.Record), revision: 1, era: 1, calls: make(map[string]int),
 		refused: make(map[string]bool), changed: make(chan struct{})}
 }
 
@@ -56,6 +58,26 @@
 	s.changed = make(chan struct{})
 }
 
+// position returns the position of the store. The caller holds mu or is the only one that
+// changes the store.
+func (s *store) position() records.Position {
+	return records.Position{Era: s.era, Revision: s.revision}
+}
+
+// restore replaces the contents by those at an earlier revision.
+func (s *store) restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era, s.revision = s.era+1, revision
+	s.records = make(map[string]records.Record)
+	s.events = slices.DeleteFunc(s.events, func(r records.Record) bool { return r.Revision > revision })
+	for _, r := range s.events {
+		s.records[r.Key] = r
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) refuse(readers ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,7 +121,7 @@
 	if err := s.countCall(); err != nil {
 		return fleet.Listing{}, err
 	}
-	list := fleet.Listing{Revision: s.store.revision}
+	list := fleet.Listing{Position: s.store.position()}
 	for _, r := range s.store.records {
 		if !r.Deleted {
 			list.Records = append(list.Records, r)
@@ -114,13 +136,16 @@
 	for {
 		s.store.mu.Lock()
 		err := s.countCall()
-		list := fleet.Listing{Revision: s.store.revision}
+		list := fleet.Listing{Position: s.store.position()}
 		for _, r := range s.store.events {
 			if r.Revision > after {
 				list.Records = append(list.Records, r)
 			}
 		}
 		changed := s.store.changed
+		if err == nil && after > s.store.revision {
+			err = fleet.ErrHistoryGone
+		}
 		s.store.mu.Unlock()
 		if err != nil || len(list.Records) > 0 {
 			return list, err
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
 // Member is the state of an instance, as the instance itself or others report it.
@@ -72,8 +74,8 @@
 	aliveUntil time.Duration
 	// probeNotBefore is the earliest time of the next probe of the member.
 	probeNotBefore time.Duration
-	// revision is the store revision that the member last reported.
-	revision uint64
+	// position is the position of its records that the member last reported.
+	position records.Position
 	// readOrder is the cached readOrderHash of the member.
 	readOrder uint64
 	// transmissions counts how often the last change of the member was sent to peers.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -36,19 +36,19 @@
 		Domain: int(m.GetDomain()), State: MemberState(m.GetFlags())}
 }
 
-// packer encodes records into messages. It caches the compressed changes of one
-// revision, so that changes that are sent to many peers are compressed only once.
+// packer encodes records into messages. It caches the compressed changes up to one
+// position, so that changes that are sent to many peers are compressed only once.
 type packer struct {
-	revision uint64
+	position records.Position
 	packed   map[uint64][]byte // by the revision after which the changes begin
 }
 
 // maxPacked bounds the number of cached encodings.
 const maxPacked = 4
 
-// put adds list, the changes after revision after up to revision, to a message. It
-// compresses large lists.
-func (p *packer) put(s *peerapi.FleetState, list []records.Record, after, revision uint64) error {
+// put adds list, the changes after revision after up to position, to a message. It
+// compresses large lists. after is 0 for a full list.
+func (p *packer) put(s *peerapi.FleetState, list []records.Record, after uint64, position records.Position) error {
 	size := 0
 	messages := make([]*peerapi.FleetRecord, len(list))
 	for i, r := range list {
@@ -59,8 +59,8 @@
 		s.Changes = messages
 		return nil
 	}
-	if p.revision != revision || len(p.packed) >= maxPacked {
-		p.revision, p.packed = revision, make(map[uint64][]byte)
+	if p.position != position || len(p.packed) >= maxPacked {
+		p.position, p.packed = position, make(map[uint64][]byte)
 	}
 	if p.packed[after] == nil {
 		packed, err := pack(&peerapi.FleetRecords{Records: messages})
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
+	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
 const (
@@ -51,7 +52,8 @@
 type reader struct {
 	source         Source
 	now            func() time.Duration
-	revision       uint64
+	position       records.Position // of the last answer
+	mustList       bool             // a watch from position would miss changes
 	deliver        func(readResult)
 	answered       time.Duration // when the last call succeeded, at first the start of the reader
 	failed         bool          // the last call failed
@@ -61,7 +63,8 @@
 
 func (r *reader) run(ctx context.Context) {
 	retryDelays := backoff.Backoff{Min: firstBackoff, Max: maxBackoff}
-	listing := r.revision == 0
+	r.mustList = r.position.Revision == 0
+	starting := r.mustList
 	for ctx.Err() == nil {
 		result := r.callStore(ctx)
 		if ctx.Err() != nil {
@@ -71,12 +74,12 @@
 		if result.err == nil {
 			retryDelays.Reset()
 			switch {
-			case listing:
+			case starting:
 				backoff.Sleep(ctx, firstWatchDelay)
 			case len(result.listing.Records) > 0:
 				backoff.Sleep(ctx, batchInterval)
 			}
-			listing = false
+			starting = false
 			continue
 		}
 		r.source.Reset()
@@ -84,13 +87,14 @@
 	}
 }
 
-// callStore makes one call: a listing if no revision is known, else a watch.
+// callStore makes one call, a watch or, if r.mustList is set, a listing. A listing follows
+// at once if a watch cannot return all changes: the history is gone, or the store was
+// restored and the revision is one of an earlier era.
 func (r *reader) callStore(ctx context.Context) readResult {
-	var result readResult
-	if r.revision == 0 {
+	result := readResult{full: r.mustList}
+	if r.mustList {
 		callContext, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		result.full = true
 		result.listing, result.err = r.source.List(callContext)
 	} else {
 		callContext, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
@@ -99,22 +103,28 @@
 		if !r.answeredBefore {
 			wait = 0 // to learn at once whether the store answers this instance
 		}
-		result.listing, result.err = r.source.Watch(callContext, r.revision, wait)
+		result.listing, result.err = r.source.Watch(callContext, r.position.Revision, wait)
 	}
-	if errors.Is(result.err, ErrHistoryGone) {
-		r.revision = 0
+	position := result.listing.Position.WithDefaultEra(r.position.Era)
+	result.listing.Position = position
+	restored := result.err == nil && position.Era > r.position.Era && r.position.Revision > 0
+	switch {
+	case !r.mustList && (restored || errors.Is(result.err, ErrHistoryGone)):
+		r.mustList = true
 		return r.callStore(ctx)
+	case result.err == nil && position.Era < r.position.Era:
+		result.err = errors.Errorf("answer of era %d of the store, era %d is known", position.Era, r.position.Era)
 	}
 	if result.err != nil {
 		r.failed = true
 		return result
 	}
 	now := r.now()
-	if r.failed && now-r.answered > outageAfter {
+	if restored || r.failed && now-r.answered > outageAfter {
 		r.lapsedUntil = now + outageAfter
 	}
-	r.answered, r.failed, r.answeredBefore = now, false, true
-	r.revision = result.listing.Revision
+	r.answered, r.failed, r.answeredBefore, r.mustList = now, false, true, false
+	r.position = position
 	result.afterOutage = now < r.lapsedUntil
 	return result
 }
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -17,7 +17,7 @@
 
 func (s *countingSource) List(context.Context) (Listing, error) {
 	s.lists.Add(1)
-	return Listing{Records: []records.Record{{Key: "k", Revision: 7}}, Revision: 7}, nil
+	return Listing{Records: []records.Record{{Key: "k", Revision: 7}}, Position: records.Position{Revision: 7}}, nil
 }
 
 func (s *countingSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
@@ -26,7 +26,7 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return Listing{Revision: after}, ctx.Err()
+	return Listing{Position: records.Position{Revision: after}}, ctx.Err()
 }
 
 func (s *countingSource) Reset() {}
@@ -62,10 +62,62 @@
 		source := &countingSource{}
 		ctx, cancel := context.WithCancel(t.Context())
 		begin := time.Now()
-		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, deliver: func(readResult) {}, revision: 7}
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, deliver: func(readResult) {}, position: records.Position{Revision: 7}}
 		go r.run(ctx)
 		synctest.Wait()
 		is.Equal(source.watches.Load(), int64(2)) // the first one returns at once
 		cancel()
 	})
 }
+
+// scriptedSource answers each call with the next of its answers, and then waits.
+type scriptedSource struct {
+	answers []Listing
+	calls   []string
+}
+
+func (s *scriptedSource) answer(ctx context.Context, call string) (Listing, error) {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+		return Listing{}, ctx.Err()
+	}
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	return next, nil
+}
+
+func (s *scriptedSource) List(ctx context.Context) (Listing, error) { return s.answer(ctx, "list") }
+
+func (s *scriptedSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (Listing, error) {
+	return s.answer(ctx, "watch")
+}
+
+func (s *scriptedSource) Reset() {}
+
+// Guards against a watch of a restored store that is taken for complete because the store has
+// the revision again, and against a late answer of the earlier era that is taken for new.
+func TestReaderListsEachEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		at := func(era, revision uint64) Listing {
+			return Listing{Position: records.Position{Era: era, Revision: revision}}
+		}
+		source := &scriptedSource{answers: []Listing{at(1, 7), at(2, 8), at(2, 8), at(1, 9), at(2, 9)}}
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		var results []readResult
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, position: records.Position{Era: 1, Revision: 7},
+			deliver: func(result readResult) { results = append(results, result) }}
+		go r.run(ctx)
+		time.Sleep(watchWait)
+		synctest.Wait()
+		is.Equal(source.calls, []string{"watch", "watch", "list", "watch", "watch", "watch"})
+		is.Equal(len(results), 4)
+		is.True(results[1].full && results[1].afterOutage) // what is missing may be written again
+		is.True(results[2].err != nil)
+		is.Equal(results[3].listing.Position, at(2, 9).Position)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/fleet/restore_test.go
@@ -0,0 +1,45 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
+)
+
+// targets returns a condition: an instance uses exactly these targets.
+func targets(ids ...string) func(*instance) bool {
+	return func(i *instance) bool {
+		list := i.View().Targets["s"]
+		for n, t := range list {
+			if len(list) != len(ids) || t.ID != ids[n] {
+				return false
+			}
+		}
+		return len(list) == len(ids)
+	}
+}
+
+// Guards against a store that is restored from an older copy and whose changes are ignored
+// until its revision is above the one before: at other instances than the readers,
+// also if it is restored for the second time at the same revision.
+func TestChangesOfARestoredStoreReachAll(t *testing.T) {
+	c := newCluster(t, 3)
+	c.setVersion(1)
+	c.store.change(records.Record{Key: "a", Value: []byte("x")})
+	copied := c.store.position().Revision
+	c.startAll(3)
+	c.await("version 1", version(1))
+	for era := range int64(2) {
+		lost := fmt.Sprint("lost", era)
+		c.store.change(records.Record{Key: lost, Value: []byte("x")})
+		c.setVersion(10*era + 5)
+		c.await("the version that will be lost", version(10*era+5))
+		c.store.restore(copied)
+		c.setVersion(10*era + 6)
+		c.store.change(records.Record{Key: "b", Value: []byte("x")})
+		c.await("the version after the restore", version(10*era+6))
+		c.await("no target that is missing from the copy", targets("a", "b"))
+	}
+	c.await("one position everywhere", func(i *instance) bool { return i.View().Position == c.store.position() })
+}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
 const (
@@ -104,7 +106,7 @@
 		return !restarted && m.State.Has(Down) && r.live(now, p) && now-p.lastSeen > contactValidity
 	}
 	if restarted {
-		p.previousIncarnation, p.revision = p.Incarnation, 0
+		p.previousIncarnation, p.position = p.Incarnation, records.Position{}
 	}
 	if restarted || m.State != p.State {
 		p.transmissions = 0
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -23,7 +23,7 @@
 	answer, err := owner.Call(ctx, s.task.loop, func(now time.Duration) *peerapi.FleetState {
 		isNew := s.task.merge(now, state)
 		sender := addressFromNumber(state.GetSelf().GetIp())
-		answer := s.task.stateFor(now, sender, state.GetRevision(), true)
+		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), true)
 		if isNew {
 			answer.Members = answer.Members[:0]
 			for _, m := range s.task.roster.initialMembers() {
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -14,13 +14,10 @@
 // given revision. The caller must list all records again.
 var ErrHistoryGone = errors.New("store no longer has the changes after the given revision")
 
-// Listing is a set of records or changes that is complete up to Revision.
+// Listing is a set of records or changes of one era, complete up to Position.
 type Listing struct {
 	Records  []records.Record
-	Revision uint64
-	// Era counts how often the store was restored from an older copy. It is 0 if the
-	// store does not say.
-	Era uint64
+	Position records.Position
 }
 
 // Source reads the store. Implementations are safe for concurrent use.
@@ -28,7 +25,9 @@
 	// List returns all records.
 	List(ctx context.Context) (Listing, error)
 	// Watch returns the changes after a revision. If there are none, it waits up to
-	// wait for the first one, and returns an empty listing if none arrives.
+	// wait for the first one, and returns an empty listing if none arrives. A restored
+	// store cannot tell in which era the revision was read: the caller compares the era
+	// of the listing with it.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
 	// Reset drops the connection, so that the next call uses a new one.
 	Reset()
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -50,7 +50,6 @@
 	storeAnsweredAt    time.Duration      // time of the store's last answer
 	storeFailedAt      time.Duration      // time of the last failed call since the last answer, 0 if none
 	storeFailing       bool               // the last call to the store failed
-	storeEra           uint64             // era of the store's last answer
 	nextRound          time.Duration
 	round              int
 	exchanging         map[netip.Addr]bool       // peers with an exchange in progress
@@ -58,7 +57,7 @@
 	noReader           bool                      // no reader's heartbeat has arrived for readerTimeout
 	loggedLive         int                       // number of live instances that was logged last
 	pendingRelay       broadcast                 // broadcast to forward once its changes have arrived
-	broadcastRevision  uint64                    // revision up to which changes have been broadcast
+	broadcastPosition  records.Position          // position up to which changes have been broadcast
 	broadcastScheduled bool                      // broadcastNow will run within broadcastDelay
 	broadcastScope     scope                     // scope of the scheduled broadcast
 	failureReports     failureReports            // recent reports of requests that may crash targets
@@ -69,7 +68,7 @@
 	t := &Task{options: o, loop: owner.New(o.Now), set: records.NewSet(), builder: catalog.NewBuilder(),
 		clients: newClients(o.Port, o.Identity), exchanging: make(map[netip.Addr]bool), queued: make(map[netip.Addr]*broadcast)}
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
-	t.view.Store(t.builder.Build(0, 0))
+	t.view.Store(t.builder.Build(0, records.Position{}))
 	t.snapshot.Store(&Snapshot{Size: 1})
 	return t
 }
@@ -157,7 +156,7 @@
 	}
 	if now >= t.nextRound {
 		t.nextRound = now + exchangeInterval
-		if t.set.Revision() == 0 {
+		if t.set.Empty() {
 			t.nextRound = now // no records yet: contact peers with each tick
 		}
 		t.startRound(now)
@@ -172,7 +171,7 @@
 	t.setFlag(Reading, t.stopReader != nil && t.storeAnsweredAt > 0 && now-t.storeAnsweredAt <= outageAfter && !t.storeFailing)
 	t.setFlag(StoreFailed, t.storeFailedAt > 0 && now-t.storeFailedAt < storeFailedFor)
 	silence := now - max(t.started, t.roster.lastReaderHeartbeat())
-	shouldRead := now >= t.readNotBefore && (t.set.Revision() == 0 || t.roster.shouldRead(now, silence))
+	shouldRead := now >= t.readNotBefore && (t.set.Empty() || t.roster.shouldRead(now, silence))
 	if noReader := silence > t.roster.readerTimeout() && t.stopReader == nil; noReader != t.noReader {
 		t.noReader = noReader
 		t.options.Log.Info("heartbeats of store readers", "heard", !noReader, "silence_ms", silence.Milliseconds())
@@ -181,7 +180,7 @@
 	case shouldRead && t.stopReader == nil:
 		t.startReader()
 	case !shouldRead && t.stopReader != nil:
-		t.options.Log.Info("stop reading the store", "revision", t.set.Revision())
+		t.options.Log.Info("stop reading the store", "era", t.set.Position().Era, "revision", t.set.Position().Revision)
 		t.stopReader()
 		t.stopReader, t.storeFailing = nil, false
 	}
@@ -190,8 +189,8 @@
 func (t *Task) startReader() {
 	ctx, cancel := context.WithCancel(t.context)
 	t.stopReader, t.storeFailing = cancel, false
-	t.options.Log.Info("start reading the store", "revision", t.set.Revision())
-	r := &reader{source: t.options.Source, now: t.options.Now, revision: t.set.Revision(), answered: t.options.Now()}
+	t.options.Log.Info("start reading the store", "era", t.set.Position().Era, "revision", t.set.Position().Revision)
+	r := &reader{source: t.options.Source, now: t.options.Now, position: t.set.Position(), answered: t.options.Now()}
 	r.deliver = func(result readResult) {
 		t.loop.Post(func(now time.Duration) {
 			if ctx.Err() == nil {
@@ -213,31 +212,28 @@
 		return
 	}
 	if t.storeFailing {
-		t.options.Log.Info("store answers again", "revision", result.listing.Revision, "down_ms", (now - t.storeAnsweredAt).Milliseconds())
+		t.options.Log.Info("store answers again", "era", result.listing.Position.Era, "revision", result.listing.Position.Revision,
+			"down_ms", (now - t.storeAnsweredAt).Milliseconds())
 	}
 	t.storeFailing, t.storeFailedAt, t.storeAnsweredAt = false, 0, now
-	if era := result.listing.Era; era != t.storeEra {
-		t.options.Log.Info("store is in another era", "era", era, "era_before", t.storeEra, "revision", result.listing.Revision,
-			"revision_before", t.set.Revision(), "listed", result.full, "records", len(result.listing.Records))
-		t.storeEra = era
-	}
-	first := t.set.Revision() == 0
+	before := t.set.Position()
 	var changed []records.Record
 	if result.full {
-		changed = t.set.Replace(result.listing.Records, result.listing.Revision, result.afterOutage)
+		changed = t.set.Replace(result.listing.Records, result.listing.Position, result.afterOutage)
 	} else {
 		for i := range result.listing.Records {
 			r := &result.listing.Records[i]
 			r.Lapsed = r.Deleted && result.afterOutage
 		}
-		changed = t.set.Apply(result.listing.Records, result.listing.Revision)
+		changed = t.set.Apply(result.listing.Records, result.listing.Position)
 	}
 	t.updateReader(now)
-	if len(changed) == 0 {
+	if len(changed) == 0 && t.set.Position().Era == before.Era {
 		return
 	}
+	t.logEra(before, changed)
 	t.apply(now, changed)
-	if first { // other starting instances wait for the records
+	if before.Revision == 0 { // other starting instances wait for the records
 		t.broadcastScope = scopeFleet
 		t.broadcastNow(now)
 		return
@@ -245,6 +241,15 @@
 	t.broadcastUnlessFirstReaderDoes(now)
 }
 
+// logEra logs that the store was restored from an older copy if the era is later than at
+// the position before.
+func (t *Task) logEra(before records.Position, changed []records.Record) {
+	if now := t.set.Position(); before.Revision > 0 && now.Era != before.Era {
+		t.options.Log.Info("store was restored from an older copy", "era", now.Era, "revision", now.Revision,
+			"era_before", before.Era, "revision_before", before.Revision, "changed", len(changed))
+	}
+}
+
 // apply decodes changed records and publishes the new view.
 func (t *Task) apply(now time.Duration, changed []records.Record) {
 	for _, r := range changed {
@@ -255,7 +260,7 @@
 
 func (t *Task) applyOne(now time.Duration, r records.Record) {
 	if r.Deleted {
-		t.options.Log.Info("record removed", "key", r.Key, "revision", r.Revision, "lapsed", r.Lapsed)
+		t.options.Log.Info("record removed", "key", r.Key, "era", t.set.Position().Era, "revision", r.Revision, "lapsed", r.Lapsed)
 		t.builder.Remove(now, r.Key, r.Lapsed)
 		return
 	}
@@ -266,16 +271,16 @@
 		t.builder.SetTarget(r.Key, nil)
 	case config != nil:
 		accepted := t.builder.SetConfig(config)
-		t.options.Log.Info("configuration received", "version", config.Version, "revision", r.Revision, "in_force", accepted)
+		t.options.Log.Info("configuration received", "version", config.Version, "era", t.set.Position().Era, "revision", r.Revision, "in_force", accepted)
 	case target != nil:
 		t.builder.SetTarget(r.Key, target)
 		t.options.Log.Info("target reported", "target", target.ID, "address", target.Address, "service", target.Service,
-			"draining", target.Draining, "revision", r.Revision)
+			"draining", target.Draining, "era", t.set.Position().Era, "revision", r.Revision)
 	}
 }
 
 func (t *Task) publishView(now time.Duration) {
-	t.view.Store(t.builder.Build(now, t.set.Revision()))
+	t.view.Store(t.builder.Build(now, t.set.Position()))
 	if t.options.OnView != nil && t.setFlag(Ready, t.options.OnView()) {
 		t.scheduleBroadcast(scopeFew)
 	}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -23,7 +23,8 @@
 	attributes := []slog.Attr{slog.String("id", x.id), slog.String("outcome", string(requestOutcome)), slog.Int("status", status),
 		slog.Float64("took_ms", millis(took))}
 	if x.view != nil && x.view.Config != nil {
-		attributes = append(attributes, slog.Int64("config", x.view.Config.Version), slog.Uint64("revision", x.view.Revision))
+		attributes = append(attributes, slog.Int64("config", x.view.Config.Version), slog.Uint64("era", x.view.Position.Era),
+			slog.Uint64("revision", x.view.Position.Revision))
 	}
 	if x.request.Route != nil {
 		route = x.request.Route.Name
--- a/records/set.go
+++ b/records/set.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 )
@@ -9,24 +10,33 @@
 // covers three replacements of all of them.
 const maxDeletions = 2048
 
-// Set is a copy of the store's items and of recent deletions. One goroutine owns it.
+// Set is a copy of the store's items and of recent deletions, all of one era. One
+// goroutine owns it.
 type Set struct {
 	items    map[string]Record
-	revision uint64
-	// oldestRevision is the oldest revision after which Since knows all changes.
+	position Position
+	// oldestRevision is the oldest revision of the era after which Since knows all
+	// changes.
 	oldestRevision uint64
 	deletions      int
 }
 
-// NewSet returns an empty set with revision 0.
+// NewSet returns an empty set with the zero Position.
 func NewSet() *Set { return &Set{items: make(map[string]Record)} }
 
-// Revision returns the store's revision up to which the set is complete.
-func (s *Set) Revision() uint64 { return s.revision }
+// Position returns the position in the store's history up to which the set is complete.
+func (s *Set) Position() Position { return s.position }
 
-// Apply merges changes, after which the set is complete up to revision. It returns
+// Empty reports whether the set never had any content.
+func (s *Set) Empty() bool { return s.position.Revision == 0 }
+
+// Apply merges changes, after which the set is complete up to a position. It returns
 // the changes that were applied; the others are not newer than the set's records.
-func (s *Set) Apply(changes []Record, revision uint64) []Record {
+// Changes of another era than the set's are ignored.
+func (s *Set) Apply(changes []Record, position Position) []Record {
+	if position.Era != s.position.Era {
+		return nil
+	}
 	applied := make([]Record, 0, len(changes))
 	for _, r := range changes {
 		old, known := s.items[r.Key]
@@ -36,46 +46,81 @@
 		s.put(old, r)
 		applied = append(applied, r)
 	}
-	s.revision = max(s.revision, revision)
+	s.position.Revision = max(s.position.Revision, position.Revision)
 	s.prune()
 	return applied
 }
 
-// Replace merges a full listing of the store at the given revision, and returns
-// the changes that were applied. Items that are missing from the listing are
-// deleted unless they are newer than it; lapsed is the Lapsed flag of these
-// deletions.
-func (s *Set) Replace(all []Record, revision uint64, lapsed bool) []Record {
-	present := make(map[string]bool, len(all))
-	for _, r := range all {
-		present[r.Key] = true
+// Replace merges a full listing of the store at a position, and returns the changes that
+// were applied. Items that are missing from the listing are deleted unless they are
+// newer than it; lapsed is the Lapsed flag of these deletions, which is always set if
+// the listing begins a later era. A listing of an earlier era is ignored.
+func (s *Set) Replace(all []Record, position Position, lapsed bool) []Record {
+	if position.Era > s.position.Era {
+		return s.startEra(all, position, lapsed || !s.Empty())
 	}
 	changes := slices.Clone(all)
-	for key, old := range s.items {
-		if !present[key] && !old.Deleted && old.Revision <= revision {
-			changes = append(changes, Record{Key: key, Revision: revision, Deleted: true, Lapsed: lapsed})
+	for _, old := range s.missingFrom(all) {
+		if old.Revision <= position.Revision {
+			changes = append(changes, Record{Key: old.Key, Revision: position.Revision, Deleted: true, Lapsed: lapsed})
 		}
 	}
-	initial := s.revision == 0
-	applied := s.Apply(changes, revision)
+	initial := s.Empty()
+	applied := s.Apply(changes, position)
 	if initial {
-		s.oldestRevision = revision
+		s.oldestRevision = position.Revision
 	}
 	return applied
 }
 
-// Since returns the changes after a revision, in order of revision. It reports
-// false when the set's history does not reach back that far.
-func (s *Set) Since(revision uint64) ([]Record, bool) {
-	if revision < s.oldestRevision {
-		return nil, false
+// startEra replaces the items by a listing of a later era. It returns the records that
+// differ from those of the earlier era.
+func (s *Set) startEra(all []Record, position Position, lapsed bool) []Record {
+	before, missing := s.items, s.missingFrom(all)
+	*s = Set{items: make(map[string]Record, len(all)), position: position, oldestRevision: position.Revision}
+	changed := make([]Record, 0, len(all))
+	for _, old := range missing {
+		r := Record{Key: old.Key, Revision: position.Revision, Deleted: true, Lapsed: lapsed}
+		s.put(Record{}, r)
+		changed = append(changed, r)
+	}
+	for _, r := range all {
+		s.put(Record{}, r)
+		if old, known := before[r.Key]; !known || old.Deleted || !bytes.Equal(old.Value, r.Value) {
+			changed = append(changed, r)
+		}
+	}
+	s.prune()
+	return changed
+}
+
+// missingFrom returns the items that a listing lacks.
+func (s *Set) missingFrom(all []Record) []Record {
+	present := make(map[string]bool, len(all))
+	for _, r := range all {
+		present[r.Key] = true
+	}
+	var missing []Record
+	for key, r := range s.items {
+		if !present[key] && !r.Deleted {
+			missing = append(missing, r)
+		}
 	}
-	if revision >= s.revision {
+	return missing
+}
+
+// Since returns the changes after a position, in order of revision. It reports
+// false when the set's history does not reach back that far.
+func (s *Set) Since(position Position) ([]Record, bool) {
+	if position.Compare(s.position) >= 0 {
 		return nil, true
 	}
+	if position.Era != s.position.Era || position.Revision < s.oldestRevision {
+		return nil, false
+	}
 	var changes []Record
 	for _, r := range s.items {
-		if r.Revision > revision {
+		if r.Revision > position.Revision {
 			changes = append(changes, r)
 		}
 	}
