catalog: keep removed targets out until a later registration

A restored store lists targets as they were some seconds ago. One that this instance had seen removed came back into use until its entry of the copy expired: only entries that it still had were compared with older registrations.

A target whose entry lapsed is not remembered, so it returns as it was. The comparison needs the target's start time; without it, every registration counts as later, as before.

TestRestoredEntryOfARemovedTargetIsIgnored failed before.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -20,6 +20,7 @@
 	matcher       *Matcher
 	entries       map[string]*targetEntry
 	lapsedEntries int // number of entries with removeAt set
+	removed       removedTargets
 }
 
 type targetEntry struct {
@@ -41,31 +42,38 @@
 	return true
 }
 
-// SetTarget replaces the entry of key. A nil target, for an entry that cannot be
-// used, deletes it. A registration older than the current one is ignored.
-func (b *Builder) SetTarget(key string, t *Target) {
+// SetTarget replaces the entry of key, and reports whether it did. A nil target, for an
+// entry that cannot be used, deletes it. A registration older than the current one, or
+// not later than the one before a removal, is ignored: it comes from an older state of
+// the store.
+func (b *Builder) SetTarget(key string, t *Target) bool {
 	if t == nil {
 		b.deleteEntry(key)
-		return
+		return true
 	}
-	if e := b.entries[key]; e != nil && t.isOlderThan(e.target) {
-		return
+	if e := b.entries[key]; e != nil && t.compareRegistration(e.target) < 0 || !b.removed.allows(key, t) {
+		return false
 	}
 	b.deleteEntry(key)
 	b.entries[key] = &targetEntry{target: t}
+	return true
 }
 
 // Remove deletes the entry of key. If it lapsed, it is kept for LapseGrace, unless
 // the target was draining.
 func (b *Builder) Remove(now time.Duration, key string, lapsed bool) {
 	e := b.entries[key]
-	if e != nil && lapsed && !e.target.Draining {
+	if e == nil {
+		return
+	}
+	if lapsed && !e.target.Draining {
 		if e.removeAt == 0 {
 			e.removeAt = now + LapseGrace
 			b.lapsedEntries++
 		}
 		return
 	}
+	b.removed.add(key, e.target)
 	b.deleteEntry(key)
 }
 
--- a/catalog/builder_test.go
+++ b/catalog/builder_test.go
@@ -87,3 +87,32 @@
 	is.True(!b.Expire(time.Hour))
 	is.Equal(ids(b.Build(0, records.Position{})), []string{"a"})
 }
+
+// Guards against work for a target that drains or was removed, after a restored store lists
+// it again as it was before: only a later registration brings it back. A target whose
+// entry only lapsed comes back as it was.
+func TestRestoredEntryOfARemovedTargetIsIgnored(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	list := func() []string { return ids(b.Build(0, records.Position{})) }
+	for _, id := range []string{"crashed", "drained", "lapsed", "restarted"} {
+		b.SetTarget(id, target(id, 100, 5, false))
+	}
+	b.SetTarget("drained", target("drained", 100, 6, true))
+	b.Remove(0, "crashed", false)
+	b.Remove(0, "drained", true) // the copy lacks it, but it was draining
+	b.Remove(0, "lapsed", true)
+	b.Remove(0, "restarted", false)
+	is.True(b.Expire(catalog.LapseGrace))
+	for _, id := range []string{"crashed", "drained", "lapsed", "restarted"} {
+		b.SetTarget(id, target(id, 100, 5, false)) // as in the copy
+		b.Remove(0, id+"-unknown", false)
+	}
+	is.Equal(list(), []string{"lapsed"})
+	b.Remove(0, "crashed", false) // its entry of the copy expires
+	b.SetTarget("crashed", target("crashed", 100, 5, false))
+	is.Equal(list(), []string{"lapsed"})
+	b.SetTarget("crashed", target("crashed", 100, 6, false)) // was not reachable for a while
+	b.SetTarget("restarted", target("restarted", 200, 1, false))
+	is.Equal(list(), []string{"crashed", "lapsed", "restarted"})
+}
--- a/catalog/target.go
+++ b/catalog/target.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Target is one incarnation of a back-end server, as it registered itself.
 type Target struct {
@@ -30,13 +33,14 @@
 	Sequence int64
 }
 
-// isOlderThan reports whether t was registered before other, by the same or by an
-// earlier incarnation. It reports false when one of the start times is unknown.
-func (t *Target) isOlderThan(other *Target) bool {
+// compareRegistration returns -1, 0 or 1 if t was registered before, with or after other,
+// by the same or by another incarnation. It returns 1 when one of the start times is
+// unknown: a restarted target must not be taken for its predecessor.
+func (t *Target) compareRegistration(other *Target) int {
 	if t.StartUnixMS == 0 || other.StartUnixMS == 0 {
-		return false
+		return 1
 	}
-	return t.StartUnixMS < other.StartUnixMS || t.StartUnixMS == other.StartUnixMS && t.Sequence < other.Sequence
+	return cmp.Or(cmp.Compare(t.StartUnixMS, other.StartUnixMS), cmp.Compare(t.Sequence, other.Sequence))
 }
 
 // Incarnation identifies a target between one start and the next.
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -273,9 +273,9 @@
 		accepted := t.builder.SetConfig(config)
 		t.options.Log.Info("configuration received", "version", config.Version, "era", t.set.Position().Era, "revision", r.Revision, "in_force", accepted)
 	case target != nil:
-		t.builder.SetTarget(r.Key, target)
+		accepted := t.builder.SetTarget(r.Key, target)
 		t.options.Log.Info("target reported", "target", target.ID, "address", target.Address, "service", target.Service,
-			"draining", target.Draining, "era", t.set.Position().Era, "revision", r.Revision)
+			"draining", target.Draining, "in_force", accepted, "era", t.set.Position().Era, "revision", r.Revision)
 	}
 }
 
