fleet: keep the newest configuration while a restored store has an older one

An instance that started after a restore took the configuration from the copy of the store, and from peers, which send the records of the store: requests for routes that were in force everywhere else got 404 there until the operators wrote their configuration again. If all older instances were replaced meanwhile, the newer version was lost to the fleet.

Each instance now keeps the record of the configuration in force apart from the set of records and names its version in each message (config_version). A peer with a lower version gets the record with the answer (config), unless the changes contain it; one that learns of a higher version asks for it. It is put into force before the changes of the same message.

TestStartingInstanceGetsNewestConfiguration failed before (version 5 not in force after a minute).

--- a/fleet/exchange_fuzz_test.go
+++ b/fleet/exchange_fuzz_test.go
@@ -39,6 +39,7 @@
 		{Self: member, Members: []*peerapi.FleetMember{member, {Ip: numberFromAddress(self), Incarnation: 7, Heartbeat: 1 << 31, Flags: 1<<32 - 1}}},
 		{Self: member, Revision: 1<<64 - 1, HasChanges: true, Full: true, Changes: []*peerapi.FleetRecord{{Key: "t", Revision: 1<<64 - 1, Deleted: true}, {}}},
 		{Self: member, Era: 1<<64 - 1, Revision: 1, HasChanges: true, Full: true, Changes: []*peerapi.FleetRecord{{Key: "t", Revision: 2}}},
+		{Self: member, ConfigVersion: proto.Int64(-1 << 63), Config: &peerapi.FleetRecord{Key: "c", Value: []byte("s")}},
 		{Self: member, HasChanges: true, ChangesAfter: 1<<64 - 1, PackedChanges: packed, Relay: []uint32{0, 1<<32 - 1}},
 		{Self: member, HasChanges: true, PackedChanges: packed[:len(packed)/2]},
 		{Strikes: []*peerapi.FleetStrike{{}, {Request: make([]byte, 16), AgeMs: 1<<32 - 1}}},
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -53,7 +53,7 @@
 	messages := make([]*peerapi.FleetRecord, len(list))
 	for i, r := range list {
 		size += len(r.Key) + len(r.Value)
-		messages[i] = &peerapi.FleetRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Lapsed: r.Lapsed}
+		messages[i] = recordMessage(r)
 	}
 	if size <= packThreshold {
 		s.Changes = messages
@@ -73,6 +73,14 @@
 	return nil
 }
 
+func recordMessage(r records.Record) *peerapi.FleetRecord {
+	return &peerapi.FleetRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Lapsed: r.Lapsed}
+}
+
+func recordFromMessage(m *peerapi.FleetRecord) records.Record {
+	return records.Record{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(), Lapsed: m.GetLapsed()}
+}
+
 func pack(m *peerapi.FleetRecords) ([]byte, error) {
 	plain, err := proto.Marshal(m)
 	if err != nil {
@@ -108,8 +116,7 @@
 	}
 	list := make([]records.Record, len(messages))
 	for i, m := range messages {
-		list[i] = records.Record{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(),
-			Lapsed: m.GetLapsed()}
+		list[i] = recordFromMessage(m)
 	}
 	return list, nil
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -43,3 +43,27 @@
 	}
 	c.await("one position everywhere", func(i *instance) bool { return i.View().Position == c.store.position() })
 }
+
+// Guards against an instance that starts with the older configuration of a restored store
+// although its peers have a newer one in force, also if they have it from a peer.
+func TestStartingInstanceGetsNewestConfiguration(t *testing.T) {
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	copied := c.store.position().Revision
+	c.startAll(2)
+	c.setVersion(5)
+	c.await("version 5", version(5))
+	c.store.restore(copied)
+	c.await("the position of the restored store", func(i *instance) bool { return i.View().Position == c.store.position() })
+	c.start(0, 3)
+	c.start(1, 3)
+	c.await("version 5", version(5))
+	for _, first := range []int{1, 2} {
+		c.stop(address(0, first))
+		c.stop(address(1, first))
+	}
+	c.start(0, 1)
+	c.await("version 5", version(5))
+	c.setVersion(6)
+	c.await("version 6", version(6))
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -24,6 +24,7 @@
 		isNew := s.task.merge(now, state)
 		sender := addressFromNumber(state.GetSelf().GetIp())
 		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), true)
+		answer.Config = s.task.configFor(state, answer)
 		if isNew {
 			answer.Members = answer.Members[:0]
 			for _, m := range s.task.roster.initialMembers() {
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -38,6 +38,7 @@
 
 	roster  *roster
 	set     *records.Set
+	config  configInForce
 	builder *catalog.Builder
 	clients *clients
 	packer  packer
@@ -270,8 +271,7 @@
 		t.options.Log.Warn("cannot decode record, not used", "key", r.Key, "revision", r.Revision, "error", err.Error())
 		t.builder.SetTarget(r.Key, nil)
 	case config != nil:
-		accepted := t.builder.SetConfig(config)
-		t.options.Log.Info("configuration received", "version", config.Version, "era", t.set.Position().Era, "revision", r.Revision, "in_force", accepted)
+		t.setConfig(r, config)
 	case target != nil:
 		accepted := t.builder.SetTarget(r.Key, target)
 		t.options.Log.Info("target reported", "target", target.ID, "address", target.Address, "service", target.Service,
--- a/records/set.go
+++ b/records/set.go
@@ -30,6 +30,12 @@
 // Empty reports whether the set never had any content.
 func (s *Set) Empty() bool { return s.position.Revision == 0 }
 
+// Get returns the record of a key, which may be a deletion.
+func (s *Set) Get(key string) (Record, bool) {
+	r, known := s.items[key]
+	return r, known
+}
+
 // Apply merges changes, after which the set is complete up to a position. It returns
 // the changes that were applied; the others are not newer than the set's records.
 // Changes of another era than the set's are ignored.
