fleet: do not request an undecodable configuration with each exchange

An instance that cannot decode the configuration of its peers, such as one of an earlier build, got it with each answer and asked for it after each message, since its version in force stays lower; an answer without it would have led to the next request at once.

A version that could not be decoded now counts as known, and only a message with which a peer starts an exchange leads to a request: an answer contains the configuration if the peer has it.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -18,12 +18,18 @@
 type configInForce struct {
 	version int64 // 0 if there is none
 	record  records.Record
+	// refused is the highest version that a peer sent and that could not be decoded. It is
+	// not requested again.
+	refused int64
 }
 
+// known returns the highest version that this instance need not get from peers.
+func (c *configInForce) known() int64 { return max(c.version, c.refused) }
+
 // setConfig puts the configuration of a record into force if its version is higher.
 func (t *Task) setConfig(r records.Record, config *catalog.Config) (accepted bool) {
 	if accepted = t.builder.SetConfig(config); accepted {
-		t.config = configInForce{config.Version, r}
+		t.config.version, t.config.record = config.Version, r
 	}
 	t.options.Log.Info("configuration received", "version", config.Version, "era", t.set.Position().Era, "revision", r.Revision,
 		"in_force", accepted)
@@ -56,7 +62,8 @@
 		err = errors.New("record contains no configuration")
 	}
 	if err != nil {
-		t.options.Log.Warn("cannot decode configuration from peer, ignored", "peer", sender.String(), "key", r.Key, "error", err.Error())
+		t.options.Log.Warn("cannot decode configuration from peer, ignored", "peer", sender.String(), "version", s.GetConfigVersion(), "key", r.Key, "error", err.Error())
+		t.config.refused = max(t.config.refused, s.GetConfigVersion())
 		return
 	}
 	if t.setConfig(r, config) {
@@ -64,10 +71,11 @@
 	}
 }
 
-// requestConfig requests the configuration in force at a peer if its version is higher
-// than the one here and the peer's state did not bring it.
+// requestConfig requests the configuration in force at a peer that started an exchange, if
+// its version is higher than the one here and its state did not bring it. An instance
+// that starts an exchange itself gets the configuration with the answer.
 func (t *Task) requestConfig(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
-	if s.GetConfig() == nil && s.GetConfigVersion() > t.config.version && t.positionFromMessage(s).Compare(t.set.Position()) <= 0 {
+	if s.GetSelf() != nil && s.GetConfigVersion() > t.config.known() && t.positionFromMessage(s).Compare(t.set.Position()) <= 0 {
 		t.contact(now, sender, broadcast{})
 	}
 }
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -230,7 +230,7 @@
 // If changes is true, it contains the records that the peer lacks: all of them if it has
 // none or the history does not reach back to known.
 func (t *Task) stateFor(now time.Duration, to netip.Addr, known records.Position, changes bool) *peerapi.FleetState {
-	position, version := t.set.Position(), t.config.version
+	position, version := t.set.Position(), t.config.known()
 	s := &peerapi.FleetState{Self: memberMessage(t.roster.self), Era: position.Era, Revision: position.Revision, ConfigVersion: &version}
 	for _, m := range t.roster.memberUpdates(now, to) {
 		s.Members = append(s.Members, memberMessage(m))
@@ -282,7 +282,6 @@
 	t.mergeFailureReports(now, s, sender.IP)
 	t.mergeConfig(now, s, sender.IP) // first, so that an older version in the records never is in force
 	t.mergeRecords(now, s, sender.IP)
-	t.requestConfig(now, s, sender.IP)
 	if relay := addressesFromNumbers(s.GetRelay()); len(relay) > 0 {
 		t.pendingRelay.merge(broadcast{sendChanges: s.GetHasChanges(), changesAfter: t.changesAfterFromMessage(s), relay: relay})
 	}
--- a/fleet/exchange_fuzz_test.go
+++ b/fleet/exchange_fuzz_test.go
@@ -74,7 +74,9 @@
 		for range 2 {
 			now += time.Second
 			task.merge(now, &state)
-			task.stateFor(now, addressFromNumber(state.GetSelf().GetIp()), task.positionFromMessage(&state), true)
+			sender := addressFromNumber(state.GetSelf().GetIp())
+			task.requestConfig(now, &state, sender)
+			task.configFor(&state, task.stateFor(now, sender, task.positionFromMessage(&state), true))
 			task.tick(now)
 		}
 		task.loop.Run(ended, time.Hour, func(time.Duration) {}) // releases what waits for the loop
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -23,6 +23,7 @@
 	answer, err := owner.Call(ctx, s.task.loop, func(now time.Duration) *peerapi.FleetState {
 		isNew := s.task.merge(now, state)
 		sender := addressFromNumber(state.GetSelf().GetIp())
+		s.task.requestConfig(now, state, sender)
 		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), true)
 		answer.Config = s.task.configFor(state, answer)
 		if isNew {
