records: end the known history of a set at each listing

What instances saw: a copy of the records could keep an item that the store had deleted, until its entry changed again.

Cause: a listing of the same era moved the position of a set forward, but its known history still reached back to before. An item that was added and deleted in between is neither in the listing nor among the set's records, so Since gave a list of changes without that deletion to a set that had the item. Only the first listing of a set ended its history.

Change: each listing that moves the position forward ends it; a set that is behind gets the whole list.

Ruled out: the eras.

--- a/records/set.go
+++ b/records/set.go
@@ -71,9 +71,9 @@
 			changes = append(changes, Record{Key: old.Key, Revision: position.Revision, Deleted: true, Lapsed: lapsed})
 		}
 	}
-	initial := s.Empty()
+	later := position.Compare(s.position) > 0
 	applied := s.Apply(changes, position)
-	if initial {
+	if later { // items that were added and deleted since the position before are not known
 		s.oldestRevision = position.Revision
 	}
 	return applied
--- a/records/set_test.go
+++ b/records/set_test.go
@@ -90,6 +90,19 @@
 	is.True(ok)
 }
 
+// Guards against an incomplete list of changes after a listing: an item that was added and
+// deleted before it is missing from the list.
+func TestSinceFailsForRevisionsBeforeAListing(t *testing.T) {
+	is := is.New(t)
+	s := records.NewSet()
+	s.Replace([]records.Record{put("a", 10)}, at(10), false)
+	s.Replace([]records.Record{put("a", 10)}, at(20), false)
+	_, ok := s.Since(at(15))
+	is.True(!ok)
+	_, ok = s.Since(at(20))
+	is.True(ok)
+}
+
 // Guards against copies that differ although they have the same position. The copies
 // get their changes from the source and from each other, in any order and sometimes
 // twice, also while the store is restored from older copies.
