soak: restore the store from an older copy

The soak takes the store down and brings it back with its contents of up to four seconds ago; the configuration and the targets are then written again, and the entries of targets that have left are removed. Targets have a start time now, so that their registrations are ordered.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -62,6 +62,7 @@
 		f.store.FailCalls(nil)
 	}},
 	{"store forgets", false, func(_ context.Context, f *fleet, _ *rand.Rand) { f.store.Compact() }},
+	{"store restored", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.restoreStore(ctx, r) }},
 	{"target fails", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		share := 0.2 + 0.8*r.Float64()
 		b := []behaviour{{dropResponse: share}, {truncate: share}, {fail: share}, {reject: share}, {hang: share}, {slowdown: 1 + 9*share}}[r.IntN(6)]
@@ -131,6 +132,37 @@
 	f.publish(t)
 }
 
+// restoreStore takes the store down and brings it back with a copy of some seconds ago.
+// The operators and the targets then write their entries again, and the entries of
+// targets that have left since are removed.
+func (f *fleet) restoreStore(ctx context.Context, r *rand.Rand) {
+	copied := f.store.Revision()
+	backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
+	current := make(map[string]bool)
+	for _, t := range f.targets {
+		t.eventLock.Lock()
+		defer t.eventLock.Unlock()
+		current[t.currentEntry().ID] = true
+	}
+	f.configLock.Lock()
+	defer f.configLock.Unlock()
+	f.store.FailCalls(func(*http.Request) bool { return true })
+	backoff.Sleep(ctx, randomDuration(r, 2*time.Second))
+	f.store.Restore(copied)
+	f.store.FailCalls(nil)
+	backoff.Sleep(ctx, randomBelow(r, time.Second))
+	f.store.PutConfig(&f.config)
+	for _, t := range f.targets {
+		t.update(func(*catalog.Target, *behaviour) {}) // a registration later than that of the copy
+		f.publish(t)
+	}
+	for _, id := range f.store.TargetIDs() {
+		if !current[id] {
+			f.store.DeleteTarget(id)
+		}
+	}
+}
+
 // replace crashes a target and lets a target of the other service take over its
 // address.
 func (f *fleet) replace(ctx context.Context, t *target, r *rand.Rand) {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	t.entry = catalog.Target{ID: "t" + strconv.Itoa(number) + "-0", Address: t.proxy.address(), Service: service, Version: "v1",
-		FailureDomain: domains[number%len(domains)], Slots: targetSlots, Sequence: 1}
+		FailureDomain: domains[number%len(domains)], Slots: targetSlots, StartUnixMS: time.Now().UnixMilli(), Sequence: 1}
 	t.server = &http.Server{Handler: t}
 	go func() { _ = t.server.Serve(listener) }() // ends with close
 	return t, nil
