records: pass lapses on with a whole listing

What callers would have seen: after an outage in which the store lost its history, the instance that read the store kept targets whose entries had lapsed for two seconds, and all others removed them at once, although they were alive.

Change: a whole list has the lapsed deletions, too, and a receiver takes over the mark for those that it derives from missing items. The deletions themselves are not merged: an old one could hide an item that is missing.

Evidence: found in review.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -243,7 +243,7 @@
 	}
 	list, ok := t.set.Since(known)
 	if !ok || known.Revision == 0 {
-		known, list, s.Full = records.Position{}, t.set.All(), true
+		known, list, s.Full = records.Position{}, t.set.AllWithLapses(), true
 	}
 	if err := t.packer.put(s, list, known.Revision, position); err != nil { // the peer gets the records from another instance
 		t.options.Log.Error("cannot encode records, sending state to peer without them", "error", err.Error())
--- a/records/set.go
+++ b/records/set.go
@@ -60,15 +60,17 @@
 // Replace merges a full listing of the store at a position, and returns the changes that
 // were applied. Items that are missing from the listing are deleted unless they are
 // newer than it; lapsed is the Lapsed flag of these deletions, which is always set if
-// the listing begins a later era. A listing of an earlier era is ignored.
+// the listing begins a later era, or the listing itself has a lapsed deletion of the
+// item. A listing of an earlier era is ignored.
 func (s *Set) Replace(all []Record, position Position, lapsed bool) []Record {
+	items, lapses := splitLapses(all)
 	if position.Era > s.position.Era {
-		return s.startEra(all, position, lapsed || !s.Empty())
+		return s.startEra(items, position, lapsed || !s.Empty())
 	}
-	changes := slices.Clone(all)
-	for _, old := range s.missingFrom(all) {
+	changes := items
+	for _, old := range s.missingFrom(items) {
 		if old.Revision <= position.Revision {
-			changes = append(changes, Record{Key: old.Key, Revision: position.Revision, Deleted: true, Lapsed: lapsed})
+			changes = append(changes, Record{Key: old.Key, Revision: position.Revision, Deleted: true, Lapsed: lapsed || lapses[old.Key]})
 		}
 	}
 	later := position.Compare(s.position) > 0
@@ -146,6 +148,32 @@
 	return all
 }
 
+// AllWithLapses returns all items and the lapsed deletions, in order of revision. Without
+// them a set that is replaced by the items could not tell that others have lapsed.
+func (s *Set) AllWithLapses() []Record {
+	all := make([]Record, 0, len(s.items))
+	for _, r := range s.items {
+		if !r.Deleted || r.Lapsed {
+			all = append(all, r)
+		}
+	}
+	sortByRevision(all)
+	return all
+}
+
+// splitLapses returns the items of a listing and the keys of its lapsed deletions.
+func splitLapses(all []Record) (items []Record, lapses map[string]bool) {
+	items, lapses = make([]Record, 0, len(all)), make(map[string]bool)
+	for _, r := range all {
+		if r.Deleted {
+			lapses[r.Key] = r.Lapsed
+		} else {
+			items = append(items, r)
+		}
+	}
+	return items, lapses
+}
+
 func (s *Set) put(old, r Record) {
 	if old.Deleted {
 		s.deletions--
--- a/records/set_test.go
+++ b/records/set_test.go
@@ -118,7 +118,7 @@
 				to.Apply(changes, from.Position())
 				return
 			}
-			to.Replace(from.All(), from.Position(), false)
+			to.Replace(from.AllWithLapses(), from.Position(), false)
 		}
 		all := append([]*records.Set{source}, copies...)
 		revision, backup := uint64(0), []records.Record(nil)
