fleet: learn the era of the store at once after a failed call

What callers would have seen: a version that was confirmed just after the store's return could come into force 1.5 s later than needed.

Cause: the first watch after an outage waits for changes. If the restored store has reached the reader's old revision by then, that watch returns neither the changes before it nor the era until its wait is over.

Change: a watch after a failed call does not wait, as the first one of a reader. That is one more call for each outage.

Evidence: found in review; TestFirstWatchAfterAFailureDoesNotWait failed before. A watch that the restore does not cut still answers at the end of its wait.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -100,8 +100,8 @@
 		callContext, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 		defer cancel()
 		wait := watchWait
-		if !r.answeredBefore {
-			wait = 0 // to learn at once whether the store answers this instance
+		if !r.answeredBefore || r.failed {
+			wait = 0 // to learn at once whether the store answers this instance, and in which era
 		}
 		result.listing, result.err = r.source.Watch(callContext, r.position.Revision, wait)
 	}
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"github.com/dogwoodroute/dogwoodroute/records"
@@ -121,3 +122,33 @@
 		synctest.Wait()
 	})
 }
+
+// waitsSource fails the second watch and records the wait of each.
+type waitsSource struct {
+	countingSource
+	waits []time.Duration
+}
+
+func (s *waitsSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	if s.waits = append(s.waits, wait); len(s.waits) == 2 {
+		return Listing{}, errors.New("reset")
+	}
+	return s.countingSource.Watch(ctx, after, wait)
+}
+
+// Guards against a later era that is found only after the wait of a watch, since the
+// restored store has reached the reader's revision again.
+func TestFirstWatchAfterAFailureDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := new(waitsSource)
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, deliver: func(readResult) {}, position: records.Position{Era: 1, Revision: 7}}
+		go r.run(ctx)
+		time.Sleep(2 * watchWait)
+		cancel()
+		synctest.Wait()
+		is.Equal(source.waits[:4], []time.Duration{0, watchWait, 0, watchWait})
+	})
+}
