catalog: end the lapse of a target that the store lists again

What callers would have seen: a running target was removed two seconds after a restore and stayed out.

Cause: a target that lapsed is removed after its grace unless it registers again. A registration older than the one known, as the copy of a second restore has it, was ignored whole, and the grace went on. Reports that change nothing but their number do not change the entry, so no later change brought the target back.

Change: an older registration still is not used, but it ends the lapse: the store lists the target.

Evidence: found in review, by a simulation; TestOlderRegistrationEndsLapse failed before.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -51,7 +51,12 @@
 		b.deleteEntry(key)
 		return true
 	}
-	if e := b.entries[key]; e != nil && t.compareRegistration(e.target) < 0 || !b.removed.allows(key, t) {
+	e := b.entries[key]
+	if e != nil && t.compareRegistration(e.target) < 0 {
+		b.endLapse(e) // the store lists the target again
+		return false
+	}
+	if !b.removed.allows(key, t) {
 		return false
 	}
 	b.deleteEntry(key)
@@ -78,12 +83,19 @@
 }
 
 func (b *Builder) deleteEntry(key string) {
-	if e := b.entries[key]; e != nil && e.removeAt > 0 {
-		b.lapsedEntries--
+	if e := b.entries[key]; e != nil {
+		b.endLapse(e)
 	}
 	delete(b.entries, key)
 }
 
+func (b *Builder) endLapse(e *targetEntry) {
+	if e.removeAt > 0 {
+		e.removeAt = 0
+		b.lapsedEntries--
+	}
+}
+
 // Expire deletes the lapsed entries whose grace period has ended, and reports
 // whether there were any.
 func (b *Builder) Expire(now time.Duration) bool {
--- a/catalog/builder_test.go
+++ b/catalog/builder_test.go
@@ -116,3 +116,15 @@
 	b.SetTarget("restarted", target("restarted", 200, 1, false))
 	is.Equal(list(), []string{"crashed", "lapsed", "restarted"})
 }
+
+// Guards against removing a target that the store lists, since it had lapsed before and
+// its entry in the copy is older than the one known.
+func TestOlderRegistrationEndsLapse(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	b.SetTarget("a", target("a", 100, 8, false))
+	b.Remove(0, "a", true)
+	b.SetTarget("a", target("a", 100, 5, false)) // from an older copy
+	is.True(!b.Expire(time.Hour))
+	is.Equal(ids(b.Build(0, records.Position{})), []string{"a"})
+}
