catalog: use a refused target after its entry has stayed

What callers would have seen: a running target could stay unused until it was restarted.

Cause: a target that was removed is used again only with a registration later than the one before the removal. If it was silent for a while and the store then came back from a copy with its entry, its reports changed nothing but their number, and the entry of the copy stayed. A target that restarted under its identifier with its clock set back was refused for good, too.

Change: a refused registration is remembered and used when the store has listed it for 15 s. The entry of a target that has left expires before, after three missed reports.

Evidence: found in review; TestRefusedTargetIsUsedIfItsEntryStays failed before.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -13,6 +13,11 @@
 // the store is available.
 const LapseGrace = 2 * time.Second
 
+// refusedWait is how long the store must list a registration that was refused, since the
+// target was removed before, until the target is used all the same. The entry of a target
+// that has left expires after three missed reports, which are a few seconds apart.
+const refusedWait = 15 * time.Second
+
 // Builder collects configurations and targets and builds views. One goroutine owns
 // it.
 type Builder struct {
@@ -21,6 +26,16 @@
 	entries       map[string]*targetEntry
 	lapsedEntries int // number of entries with removeAt set
 	removed       removedTargets
+	refused       map[string]*refusedTarget
+}
+
+// refusedTarget is a target whose registration is not later than the one before its
+// removal.
+type refusedTarget struct {
+	target *Target
+	// useAt is when the target is used if the store still lists it, 0 before the first
+	// call of Expire.
+	useAt time.Duration
 }
 
 type targetEntry struct {
@@ -30,7 +45,9 @@
 }
 
 // NewBuilder returns an empty builder.
-func NewBuilder() *Builder { return &Builder{entries: make(map[string]*targetEntry)} }
+func NewBuilder() *Builder {
+	return &Builder{entries: make(map[string]*targetEntry), refused: make(map[string]*refusedTarget)}
+}
 
 // SetConfig replaces the configuration in force if c has a higher version, and
 // reports whether it did.
@@ -43,30 +60,36 @@
 }
 
 // SetTarget replaces the entry of key, and reports whether it did. A nil target, for an
-// entry that cannot be used, deletes it. A registration older than the current one, or
-// not later than the one before a removal, is ignored: it comes from an older state of
-// the store.
+// entry that cannot be used, deletes it. A registration older than the current one is
+// ignored: it comes from an older state of the store. One not later than the last one
+// before a removal is used only if the store still lists it after refusedWait.
 func (b *Builder) SetTarget(key string, t *Target) bool {
-	if t == nil {
+	e := b.entries[key]
+	switch {
+	case t == nil:
 		b.deleteEntry(key)
 		return true
-	}
-	e := b.entries[key]
-	if e != nil && t.compareRegistration(e.target) < 0 {
+	case e != nil && t.compareRegistration(e.target) < 0:
 		b.endLapse(e) // the store lists the target again
 		return false
-	}
-	if !b.removed.allows(key, t) {
+	case b.removed.isOutdated(key, t):
+		b.refused[key] = &refusedTarget{target: t}
 		return false
 	}
+	b.use(key, t)
+	return true
+}
+
+func (b *Builder) use(key string, t *Target) {
 	b.deleteEntry(key)
+	b.removed.forget(key)
 	b.entries[key] = &targetEntry{target: t}
-	return true
 }
 
 // Remove deletes the entry of key. If it lapsed, it is kept for LapseGrace, unless
 // the target was draining.
 func (b *Builder) Remove(now time.Duration, key string, lapsed bool) {
+	delete(b.refused, key)
 	e := b.entries[key]
 	if e == nil {
 		return
@@ -87,6 +110,7 @@
 		b.endLapse(e)
 	}
 	delete(b.entries, key)
+	delete(b.refused, key)
 }
 
 func (b *Builder) endLapse(e *targetEntry) {
@@ -96,19 +120,27 @@
 	}
 }
 
-// Expire deletes the lapsed entries whose grace period has ended, and reports
-// whether there were any.
-func (b *Builder) Expire(now time.Duration) bool {
-	if b.lapsedEntries == 0 {
-		return false
+// Expire deletes the lapsed entries whose grace period has ended, uses the refused targets
+// that the store has listed for refusedWait, and reports whether there were any.
+func (b *Builder) Expire(now time.Duration) (changed bool) {
+	if b.lapsedEntries > 0 {
+		for key, e := range b.entries {
+			if e.removeAt > 0 && now >= e.removeAt {
+				b.deleteEntry(key)
+				changed = true
+			}
+		}
 	}
-	before := len(b.entries)
-	for key, e := range b.entries {
-		if e.removeAt > 0 && now >= e.removeAt {
-			b.deleteEntry(key)
+	for key, r := range b.refused {
+		switch {
+		case r.useAt == 0:
+			r.useAt = now + refusedWait
+		case now >= r.useAt:
+			b.use(key, r.target)
+			changed = true
 		}
 	}
-	return len(b.entries) != before
+	return changed
 }
 
 // Build returns a view of the current state. position is the position in the store's
--- a/catalog/builder_test.go
+++ b/catalog/builder_test.go
@@ -128,3 +128,24 @@
 	is.True(!b.Expire(time.Hour))
 	is.Equal(ids(b.Build(0, records.Position{})), []string{"a"})
 }
+
+// Guards against a running target that is never used again: its registration in a copy of
+// the store is not later than the one before its removal, and its reports change no more.
+func TestRefusedTargetIsUsedIfItsEntryStays(t *testing.T) {
+	is := is.New(t)
+	b := catalog.NewBuilder()
+	for _, id := range []string{"expires", "runs", "set-back"} {
+		b.SetTarget(id, target(id, 100, 5, false))
+		b.Remove(0, id, false)
+	}
+	is.True(!b.SetTarget("expires", target("expires", 100, 5, false)))
+	is.True(!b.SetTarget("runs", target("runs", 100, 5, false)))
+	is.True(!b.SetTarget("set-back", target("set-back", 99, 1, false))) // restarted with another clock
+	is.True(!b.Expire(time.Second))
+	b.Remove(0, "expires", false)
+	is.True(!b.Expire(10 * time.Second))
+	is.Equal(ids(b.Build(0, records.Position{})), []string{})
+	is.True(b.Expire(time.Minute))
+	is.Equal(ids(b.Build(0, records.Position{})), []string{"runs", "set-back"})
+	is.True(!b.Expire(time.Hour))
+}
--- a/catalog/removed.go
+++ b/catalog/removed.go
@@ -42,12 +42,12 @@
 	}
 }
 
-// allows reports whether a registration is later than the last one before the removal,
-// and forgets the removal then. It also does if one of the start times is unknown.
-func (r *removedTargets) allows(key string, t *Target) bool {
-	if e, removed := r.entries[key]; removed && t.compareRegistration(e.last) <= 0 {
-		return false
-	}
-	delete(r.entries, key)
-	return true
+// isOutdated reports whether a registration is not later than the last one before the
+// removal. It is not if one of the start times is unknown.
+func (r *removedTargets) isOutdated(key string, t *Target) bool {
+	e, removed := r.entries[key]
+	return removed && t.compareRegistration(e.last) <= 0
 }
+
+// forget ends the memory of a removal.
+func (r *removedTargets) forget(key string) { delete(r.entries, key) }
