records: one selection of sorted records instead of four

All, AllWithLapses, Since and prune each filtered and sorted the records on their own. They share one function now.

--- a/records/set.go
+++ b/records/set.go
@@ -126,39 +126,13 @@
 	if position.Era != s.position.Era || position.Revision < s.oldestRevision {
 		return nil, false
 	}
-	var changes []Record
-	for _, r := range s.items {
-		if r.Revision > position.Revision {
-			changes = append(changes, r)
-		}
-	}
-	sortByRevision(changes)
-	return changes, true
-}
-
-// All returns all items, without deleted ones, in order of revision.
-func (s *Set) All() []Record {
-	all := make([]Record, 0, len(s.items))
-	for _, r := range s.items {
-		if !r.Deleted {
-			all = append(all, r)
-		}
-	}
-	sortByRevision(all)
-	return all
+	return s.sorted(func(r Record) bool { return r.Revision > position.Revision }), true
 }
 
 // AllWithLapses returns all items and the lapsed deletions, in order of revision. Without
 // them a set that is replaced by the items could not tell that others have lapsed.
 func (s *Set) AllWithLapses() []Record {
-	all := make([]Record, 0, len(s.items))
-	for _, r := range s.items {
-		if !r.Deleted || r.Lapsed {
-			all = append(all, r)
-		}
-	}
-	sortByRevision(all)
-	return all
+	return s.sorted(func(r Record) bool { return !r.Deleted || r.Lapsed })
 }
 
 // splitLapses returns the items of a listing and the keys of its lapsed deletions.
@@ -190,13 +164,7 @@
 	if s.deletions <= maxDeletions {
 		return
 	}
-	deleted := make([]Record, 0, s.deletions)
-	for _, r := range s.items {
-		if r.Deleted {
-			deleted = append(deleted, r)
-		}
-	}
-	sortByRevision(deleted)
+	deleted := s.sorted(func(r Record) bool { return r.Deleted })
 	for _, r := range deleted[:len(deleted)/2] {
 		s.oldestRevision = max(s.oldestRevision, r.Revision)
 		delete(s.items, r.Key)
@@ -204,8 +172,16 @@
 	}
 }
 
-func sortByRevision(list []Record) {
+// sorted returns the records that match, in order of revision.
+func (s *Set) sorted(match func(Record) bool) []Record {
+	var list []Record
+	for _, r := range s.items {
+		if match(r) {
+			list = append(list, r)
+		}
+	}
 	slices.SortFunc(list, func(a, b Record) int {
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
 	})
+	return list
 }
