gateway: log and count what an instance knows of crash-causing requests

The logs could not tell an instance that never got the failure reports of others from one whose own check found no crash.

No decision changes.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -307,7 +307,11 @@
 			unseen = append(unseen, report)
 		}
 	}
-	if len(unseen) > 0 && t.options.OnFailureReports != nil {
+	if len(unseen) == 0 {
+		return
+	}
+	t.options.Log.Info("failure reports received", "peer", sender.String(), "new", len(unseen), "known", len(t.failureReports.list))
+	if t.options.OnFailureReports != nil {
 		t.options.OnFailureReports(unseen)
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,6 +53,9 @@
 	// cachedFingerprint is valid once fingerprintKnown is true.
 	cachedFingerprint poison.Fingerprint
 	fingerprintKnown  bool
+	// failedTargets is the number of targets with a failure report of the request, as
+	// of the last call of blockedFor.
+	failedTargets int
 	// deadline is when the request gets its final response at the latest.
 	deadline time.Duration
 }
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -16,6 +16,12 @@
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
+// Origins of failure reports, as written to metrics.
+const (
+	originSelf = "self"
+	originPeer = "peer"
+)
+
 // crashCheckDelay is the time from a broken attempt to the probe that checks whether
 // the target crashed. A crashed target is down for some seconds; one that only reset
 // the connection or sent an invalid response answers at once.
@@ -44,14 +50,22 @@
 }
 
 // blockedFor returns the time for which the request is still blocked because it
-// crashed targets, 0 if it is not.
+// crashed targets, 0 if it is not. It updates x.failedTargets.
 func (x *exchange) blockedFor(ctx context.Context) (time.Duration, error) {
 	s := x.gateway.scheduler
 	if s.suspectCount.Load() == 0 {
 		return 0, nil // the common case; saves computing the fingerprint
 	}
 	request := x.fingerprint()
-	return owner.Call(ctx, s.loop, func(now time.Duration) time.Duration { return s.reports.BlockedFor(now, request) })
+	failedTargets := 0
+	blocked, err := owner.Call(ctx, s.loop, func(now time.Duration) time.Duration {
+		failedTargets = s.reports.FailedTargets(request)
+		return s.reports.BlockedFor(now, request)
+	})
+	if err == nil {
+		x.failedTargets = failedTargets
+	}
+	return blocked, err
 }
 
 // completed records that a target completed the request, if any request has failure
@@ -73,7 +87,10 @@
 		backoff.Sleep(ctx, crashCheckDelay)
 		if _, result := g.sendProbe(ctx, t, path); result != placement.ProbeWell {
 			g.scheduler.recordCrash(report, id, t.ID)
+			return
 		}
+		g.options.Log.Info("target answers after a broken attempt; no failure report", "id", id,
+			"fingerprint", report.Request.String(), "target", t.ID)
 	}()
 }
 
@@ -86,6 +103,7 @@
 		s.log.Info("target is down after a request; failure report added",
 			"id", id, "fingerprint", report.Request.String(), "target", target,
 			"targets", count, "blocked_ms", s.reports.BlockedFor(now, report.Request).Milliseconds())
+		s.metrics.FailureReports(originSelf, 1)
 		s.onFailureReport(report)
 	})
 }
@@ -128,4 +146,5 @@
 		}
 		s.expireReports(now)
 	})
+	s.metrics.FailureReports(originPeer, len(list))
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -65,4 +65,6 @@
 	Refusal(outcome string)
 	// Attempt counts a finished attempt by outcome.
 	Attempt(outcome string)
+	// FailureReports counts failure reports of requests by origin, "self" or "peer".
+	FailureReports(origin string, n int)
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -35,13 +35,15 @@
 	reports         *quarantine.Tracker
 	suspectCount    atomic.Int64
 	onFailureReport func(quarantine.FailureReport)
+	metrics         Metrics
 }
 
 func newScheduler(o Options) *scheduler {
 	return &scheduler{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
 		budgetOffset: o.Random.Float64(), instances: o.Instances, probesPerTarget: o.ProbesPerTarget, log: o.Log,
-		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport}
+		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
+		metrics: o.Metrics}
 }
 
 // run handles calls until the context ends.
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -140,6 +140,7 @@
 func (noMetrics) Request(string, time.Duration) {}
 func (noMetrics) Refusal(string)                {}
 func (noMetrics) Attempt(string)                {}
+func (noMetrics) FailureReports(string, int)    {}
 
 // fixture is a gateway in front of targets.
 type fixture struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -21,6 +21,7 @@
 	tagKind    = "kind"
 	tagOutcome = "outcome"
 	tagLimit   = "limit"
+	tagOrigin  = "origin"
 )
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -32,6 +33,7 @@
 	refusals *tagged[tally.Counter]
 	attempts *tagged[tally.Counter]
 	expired  *tagged[tally.Counter]
+	reports  *tagged[tally.Counter]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
 }
@@ -63,6 +65,9 @@
 	m.expired = newTagged(func(limit string) tally.Counter {
 		return scope.Tagged(map[string]string{tagLimit: limit}).Counter("connections_expired_total")
 	})
+	m.reports = newTagged(func(origin string) tally.Counter {
+		return scope.Tagged(map[string]string{tagOrigin: origin}).Counter("failure_reports_total")
+	})
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
 		return scope.Tagged(map[string]string{tagRoute: route}).Histogram("request_seconds", latencyBuckets)
@@ -88,6 +93,10 @@
 // ConnectionExpired counts a caller's connection that was closed because of a limit.
 func (m *Metrics) ConnectionExpired(limit string) { m.expired.get(limit).Inc(1) }
 
+// FailureReports counts reports of requests whose target was down after them, by the
+// origin of the report.
+func (m *Metrics) FailureReports(origin string, n int) { m.reports.get(origin).Inc(int64(n)) }
+
 // Gauge sets a gauge of the instance. The first 1024 names are kept apart; further
 // names share one gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.gauges.get(name).Update(value) }
