--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -34,6 +34,8 @@
 	port     uint16
 	identity *secure.Identity
 	conns    map[netip.Addr]*grpc.ClientConn
+	// dialOptions are added to those of each connection.
+	dialOptions []grpc.DialOption
 }
 
 func newClients(port uint16, identity *secure.Identity) *clients {
@@ -48,11 +50,11 @@
 	}
 	params := grpc.ConnectParams{MinConnectTimeout: exchangeTimeout,
 		Backoff: backoff.Config{BaseDelay: connectBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: 5 * connectBackoff}}
-	conn, err := grpc.NewClient("passthrough:///"+netip.AddrPortFrom(ip, c.port).String(),
-		c.identity.DialOption(), grpc.WithConnectParams(params), grpc.WithNoProxy(),
+	options := append([]grpc.DialOption{c.identity.DialOption(), grpc.WithConnectParams(params), grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
-		grpc.WithReadBufferSize(connectionBufferBytes), grpc.WithWriteBufferSize(connectionBufferBytes))
+		grpc.WithReadBufferSize(connectionBufferBytes), grpc.WithWriteBufferSize(connectionBufferBytes)}, c.dialOptions...)
+	conn, err := grpc.NewClient("passthrough:///"+netip.AddrPortFrom(ip, c.port).String(), options...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "create gRPC client for peer %s", ip)
 	}
--- a/fleet/failure_reports_fleet_test.go
+++ b/fleet/failure_reports_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -25,3 +26,44 @@
 		is.True(i == reporter || i.failureReports.Load() == 2)
 	}
 }
+
+// transmissionTime is longer than failure reports are transmitted to instances that are
+// there when they are made.
+const transmissionTime = 4 * time.Second
+
+// Guards against a request that crashes further targets at instances that were away when
+// its failure reports were sent.
+func TestInstancesThatWereAwayGetFailureReports(t *testing.T) {
+	c := newCluster(t, 1)
+	c.setVersion(1)
+	c.startAll(6)
+	c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+	away, reporter := c.running[address(0, 6)], c.running[address(0, 2)]
+	c.links.cutOff(address(0, 6))
+	for target := range uint64(3) {
+		reporter.ReportFailure(quarantine.FailureReport{Target: target})
+	}
+	knows := func(i *instance) bool { return i == reporter || i.failureReports.Load() == 3 }
+	c.await("the failure reports", func(i *instance) bool { return i == away || knows(i) })
+	time.Sleep(transmissionTime)
+	c.links.heal()
+	c.start(0, 9)
+	c.await("the failure reports, also where they were missed", knows)
+}
+
+// Guards against failure reports that stay at the only instance that made them, since it
+// was cut off from the others at that time.
+func TestInstanceThatWasCutOffPassesFailureReportsOn(t *testing.T) {
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	c.startAll(3)
+	c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+	reporter := c.running[address(1, 2)]
+	c.links.cutOff(address(1, 2))
+	for target := range uint64(3) {
+		reporter.ReportFailure(quarantine.FailureReport{Target: target})
+	}
+	time.Sleep(transmissionTime)
+	c.links.heal()
+	c.await("the failure reports", func(i *instance) bool { return i == reporter || i.failureReports.Load() == 3 })
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -52,6 +52,7 @@
 	domains []string
 	seeds   []netip.Addr
 	running map[netip.Addr]*instance
+	links   *links
 	// identity secures the connections of instances that are started after it is set.
 	identity *secure.Identity
 }
@@ -64,7 +65,7 @@
 }
 
 func newCluster(t *testing.T, domains int) *cluster {
-	c := &cluster{t: t, store: newStore(), running: make(map[netip.Addr]*instance)}
+	c := &cluster{t: t, store: newStore(), running: make(map[netip.Addr]*instance), links: newLinks()}
 	for d := range domains {
 		c.domains = append(c.domains, fmt.Sprint("d", d))
 	}
@@ -99,6 +100,7 @@
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
 		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
 		Decoder: decoder{}, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
+	i.SetDialer(c.links.dialer(ip))
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	go func() {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -106,13 +106,23 @@
 // sendRequest sends one request over the open connection, records its outcome
 // and returns the status of the response, or 0 without a complete one.
 func (c *caller) sendRequest(route string, idempotent bool) int {
-	c.requestCount++
-	req := &request{id: fmt.Sprintf("c%d-%d", c.number, c.requestCount), method: http.MethodGet, route: route,
-		idempotent: idempotent, timeout: requestTimeout, instance: c.instanceID, sentAt: c.fleet.now()}
-	req.path = "/" + route + "/" + req.id + "?q=1"
+	req := c.newRequest(route, idempotent)
 	if !idempotent {
 		req.method, req.body = http.MethodPost, strings.Repeat("b", c.random.IntN(4000))+req.id
 	}
+	return c.send(req)
+}
+
+// newRequest returns a request with a new identifier, without a body.
+func (c *caller) newRequest(route string, idempotent bool) *request {
+	c.requestCount++
+	id := fmt.Sprintf("c%d-%d", c.number, c.requestCount)
+	return &request{id: id, method: http.MethodGet, path: "/" + route + "/" + id + "?q=1", route: route,
+		idempotent: idempotent, timeout: requestTimeout, instance: c.instanceID, sentAt: c.fleet.now()}
+}
+
+// send sends a request as sendRequest does.
+func (c *caller) send(req *request) int {
 	c.recorder.addRequest(req)
 	response, body, err := c.exchange(req)
 	keep := err == nil && !response.Close
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -48,6 +49,7 @@
 	{"routes that every configuration has are known", false, (*evidence).unknownRoutes},
 	{"repeats stay within the budget", true, (*evidence).retriesOverBudget},
 	{"the deadline that is passed on is what is left", true, (*evidence).exceededDeadlines},
+	{"a request that crashes targets is held back", true, (*evidence).sendsAfterCrashes},
 	{"targets that leave get no more requests", true, (*evidence).executionsAfterDrain},
 	{"a configuration is in force in time", true, (*evidence).outdatedRoutes},
 }
@@ -228,6 +230,53 @@
 	return violations
 }
 
+const (
+	// crashesAllowed is the number of targets that a request may crash before it counts
+	// as one that crashes targets, and sendsAllowed the number of further sends from
+	// recoveryTime after the last of these.
+	crashesAllowed = 3
+	sendsAllowed   = 3
+)
+
+// sendsAfterCrashes checks that requests that crash targets get to no more of them than
+// allowed. Sends by instances that were disturbed within recoveryTime do not count.
+func (e *evidence) sendsAfterCrashes() (violations []string) {
+	arrivals, instances := make(map[string][]*arrival), make(map[string]string)
+	for _, req := range e.requests {
+		instances[req.id] = req.instance
+	}
+	for _, r := range e.recorder.arrivals {
+		if isCrashing(r.body) && !r.rejected {
+			arrivals[r.body] = append(arrivals[r.body], r)
+		}
+	}
+	for body, list := range arrivals {
+		if len(list) <= crashesAllowed {
+			continue
+		}
+		slices.SortFunc(list, func(a, b *arrival) int { return cmp.Compare(a.arrivedAt, b.arrivedAt) })
+		blockedFrom := list[crashesAllowed-1].arrivedAt + recoveryTime
+		sends := 0
+		for _, r := range list[crashesAllowed:] {
+			if r.arrivedAt > blockedFrom && e.undisturbed(instances[r.id], r.arrivedAt) {
+				sends++
+			}
+		}
+		if sends > sendsAllowed {
+			violations = append(violations, fmt.Sprintf("%q: %d sends after %v, %d targets crashed", body, sends, blockedFrom, len(list)))
+		}
+	}
+	return violations
+}
+
+// undisturbed reports whether an instance was neither started nor got a signal within
+// recoveryTime before a time.
+func (e *evidence) undisturbed(instance string, at time.Duration) bool {
+	return !slices.ContainsFunc(e.disturbances, func(d disturbance) bool {
+		return d.instance == instance && d.at <= at && d.at+recoveryTime >= at
+	})
+}
+
 // inForce returns, for each route, the services of all configurations that may be
 // in force at some time between from and to.
 func (e *evidence) inForce(from, to time.Duration) map[string][]string {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -54,6 +55,18 @@
 		{"targets that leave get no more requests", func(rec *recorder, _ *request, _ *arrival) {
 			rec.departures = []departure{{target: "t", at: 7 * time.Second}}
 		}},
+		{"a request that crashes targets is held back", func(rec *recorder, req *request, r *arrival) {
+			req.body, r.body = crashPrefix, crashPrefix
+			for i := range crashesAllowed + sendsAllowed + 1 {
+				later, arrival, id := *req, *r, strconv.Itoa(i)
+				later.id, arrival.id, later.responseBody = id, id, responseFor(id)
+				later.sentAt += recoveryTime * time.Duration(i+1)
+				arrival.arrivedAt = later.sentAt
+				later.endedAt = later.sentAt
+				rec.requests, rec.arrivals = append(rec.requests, &later), append(rec.arrivals, &arrival)
+			}
+			rec.disturbances = []disturbance{{instance: "another", at: r.arrivedAt}}
+		}},
 		{"a configuration is in force in time", func(rec *recorder, _ *request, _ *arrival) {
 			rec.configs = append(rec.configs, storedConfig{at: 7 * time.Second, services: map[string][]string{"write": {"s1"}}})
 		}},
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -47,6 +47,7 @@
 			f.close()
 			return nil, err
 		}
+		t.crash = func() { f.crash(t) }
 		f.targets = append(f.targets, t)
 		f.publish(t)
 	}
@@ -57,6 +58,7 @@
 			f.close()
 			return nil, err
 		}
+		i.disturbed = func() { f.recorder.addDisturbance(i.settings.ID, f.now()) }
 		f.instances = append(f.instances, i)
 	}
 	f.config = catalog.Config{Version: 1, Services: make(map[string]catalog.Service)}
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -25,6 +25,8 @@
 	logPath      string
 	callerProxy  *proxy // between callers and the instance
 	storeProxy   *proxy // between the instance and the store
+	// disturbed is called when the process is started or gets a signal.
+	disturbed func()
 
 	mu            sync.Mutex
 	command       *exec.Cmd
@@ -82,6 +84,7 @@
 		_ = log.Close()
 		return errors.Wrapf(err, "start %s", i.settings.ID)
 	}
+	i.disturbed()
 	i.command, i.exited, i.stopRequested, i.killed = command, make(chan struct{}), false, false
 	go i.waitForExit(command, log, i.exited)
 	return nil
@@ -113,6 +116,7 @@
 	}
 	i.stopRequested = i.stopRequested || s == syscall.SIGTERM || s == syscall.SIGKILL
 	i.killed = i.killed || s == syscall.SIGKILL
+	i.disturbed()
 	_ = i.command.Process.Signal(s) // fails only when the process has ended
 }
 
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -44,6 +44,12 @@
 	planned bool
 }
 
+// disturbance is a time at which an instance was started or got a signal.
+type disturbance struct {
+	instance string
+	at       time.Duration
+}
+
 // departure is the time at which the store was updated with a target that drains
 // or is removed.
 type departure struct {
@@ -59,6 +65,7 @@
 	arrivals     []*arrival
 	faultWindows []faultWindow
 	departures   []departure
+	disturbances []disturbance
 	configs      []storedConfig
 }
 
@@ -100,6 +107,12 @@
 	rec.departures = append(rec.departures, departure{target: target, at: at})
 }
 
+func (rec *recorder) addDisturbance(instance string, at time.Duration) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.disturbances = append(rec.disturbances, disturbance{instance: instance, at: at})
+}
+
 func (rec *recorder) addConfig(c storedConfig) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,7 +55,9 @@
 		}
 	}
 	stopCallers := f.startCallers(ctx)
+	stopCrashing := f.startCrashingCaller(ctx)
 	f.runEvents(ctx, schedule(o))
+	stopCrashing()
 	f.startAll()
 	violations = append(violations, f.notReady(ctx, "after the faults")...)
 	violations = append(violations, f.converge(ctx)...)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -62,6 +62,8 @@
 	now      func() time.Duration
 	dialect  gateway.Dialect
 	slots    chan struct{}
+	// crash is called when the target runs a request that crashes it.
+	crash func()
 	// eventLock serializes the events that change the target's entry in the store.
 	eventLock sync.Mutex
 
@@ -133,6 +135,10 @@
 	switch {
 	case r.Header.Get(t.dialect.ExpectedTarget) != entry.ID:
 		t.reject(w, arrival, http.StatusMisdirectedRequest)
+	case isCrashing(arrival.body):
+		t.recorder.addArrival(arrival)
+		go t.crash()
+		panic(http.ErrAbortHandler)
 	case taken(b.reject):
 		t.reject(w, arrival, http.StatusServiceUnavailable)
 	case taken(b.hang):
