fleet: give failure reports to instances that missed them

Callers saw a request that had crashed three targets crash more, one after the other.

Cause: an instance transmitted a failure report a fixed number of times within some seconds and forgot it after 30 s, while the block that it causes lasts five minutes. An instance that started later, or was frozen or cut off at that time, never got it and counted three crashes of its own; an instance that was cut off when it made a report used up its transmissions. The class: fleet-wide state that is only announced when it changes.

Change: reports are kept as long as the block. Each exchange carries a digest of the reports that are older than 3 s; peers whose digests differ name the reports that they have and get the others, at most once a second. An instance without reports always asks. Reports have identifiers, so that one that is made again counts as new. When there are too many, the oldest is dropped instead of the latest.

Ruled out: more transmissions (an instance that is away for longer still misses them); sending all reports to each new member only (does not reach one that was frozen or cut off for a short time, which its peers did not notice).

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -11,7 +11,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
-	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -199,6 +198,7 @@
 	if pending != nil {
 		t.contact(now, ip, *pending)
 	}
+	t.syncFailureReports(now, ip)
 }
 
 // handleExchangeFailure records a failed exchange. A known member is contacted again at
@@ -235,9 +235,7 @@
 	for _, m := range t.roster.memberUpdates(now, to) {
 		s.Members = append(s.Members, memberMessage(m))
 	}
-	for _, report := range t.failureReports.next(len(t.roster.peers), to, t.isRemote(to)) {
-		s.Strikes = append(s.Strikes, reportMessage(now, report))
-	}
+	t.putFailureReports(now, s, to)
 	if !changes || known.Compare(position) >= 0 {
 		return s
 	}
@@ -293,29 +291,6 @@
 	return isNew
 }
 
-// mergeFailureReports adds a peer's failure reports and passes the unseen ones to
-// OnFailureReports.
-func (t *Task) mergeFailureReports(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
-	var unseen []quarantine.FailureReport
-	for _, m := range s.GetStrikes() {
-		report, err := reportFromMessage(now, m)
-		if err != nil {
-			t.options.Log.Warn("invalid failure report from peer, ignored", "peer", sender.String(), "error", err.Error())
-			continue
-		}
-		if t.failureReports.add(report, sender) {
-			unseen = append(unseen, report)
-		}
-	}
-	if len(unseen) == 0 {
-		return
-	}
-	t.options.Log.Info("failure reports received", "peer", sender.String(), "new", len(unseen), "known", len(t.failureReports.list))
-	if t.options.OnFailureReports != nil {
-		t.options.OnFailureReports(unseen)
-	}
-}
-
 // mergeRecords applies the changes that a peer sent, if it has a later position. If
 // changes are missing between the two positions, it requests them from the peer.
 func (t *Task) mergeRecords(now time.Duration, s *peerapi.FleetState, sender netip.Addr) {
--- a/fleet/exchange_fuzz_test.go
+++ b/fleet/exchange_fuzz_test.go
@@ -43,6 +43,7 @@
 		{Self: member, HasChanges: true, ChangesAfter: 1<<64 - 1, PackedChanges: packed, Relay: []uint32{0, 1<<32 - 1}},
 		{Self: member, HasChanges: true, PackedChanges: packed[:len(packed)/2]},
 		{Strikes: []*peerapi.FleetStrike{{}, {Request: make([]byte, 16), AgeMs: 1<<32 - 1}}},
+		{Self: member, Strikes: []*peerapi.FleetStrike{{Request: make([]byte, 16)}}, StrikesDigest: proto.Uint64(1), KnownStrikes: &peerapi.FleetStrikeIDs{Ids: []uint64{0, 7}}},
 	} {
 		wire, err := proto.Marshal(state)
 		if err != nil {
--- a/fleet/failure_reports_test.go
+++ b/fleet/failure_reports_test.go
@@ -18,7 +18,7 @@
 	reporter, peer := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
 	var s failureReports
 	for n := range count {
-		is.True(s.add(quarantine.FailureReport{Target: uint64(n)}, reporter))
+		is.True(s.add(0, uint64(n), quarantine.FailureReport{Target: uint64(n)}, reporter))
 	}
 	sent := make(map[uint64]int)
 	for range 3 * retransmitLimit(members) {
@@ -35,9 +35,36 @@
 	}
 	is.Equal(len(s.next(members, peer, false)), 0)
 	is.Equal(len(s.next(members, peer, true)), maxReportsPerExchange) // transmissions to other domains are counted apart
-	is.True(!s.add(quarantine.FailureReport{Target: 1}, reporter))
+	is.True(!s.add(0, 1, quarantine.FailureReport{Target: 1}, reporter))
 	s.expire(reportRetention - time.Millisecond)
-	is.True(!s.add(quarantine.FailureReport{Target: 1}, reporter))
+	is.True(!s.add(0, 1, quarantine.FailureReport{Target: 1}, reporter))
 	s.expire(reportRetention)
-	is.True(s.add(quarantine.FailureReport{Target: 1}, reporter))
+	is.True(s.add(0, 1, quarantine.FailureReport{Target: 1}, reporter))
+}
+
+// Guards against instances that exchange reports again and again although they have the
+// same ones, that do not notice that one of them lacks some, and against memory that grows
+// with each report.
+func TestFailureReportsAreCompared(t *testing.T) {
+	is := is.New(t)
+	const later = reportSettleTime + time.Second
+	var a, b failureReports
+	for n := range uint64(maxReports + 1) {
+		report := quarantine.FailureReport{Target: n, At: time.Duration(n)}
+		is.True(a.add(later, n+1, report, netip.Addr{}))
+		if n > 0 {
+			is.True(b.add(later, maxReports+1-n+1, quarantine.FailureReport{Target: maxReports + 1 - n, At: time.Duration(maxReports + 1 - n)}, netip.Addr{}))
+		}
+	}
+	is.Equal(len(a.list), maxReports) // the oldest was dropped
+	is.Equal(a.digest(later), b.digest(later))
+	is.Equal(len(a.missing(b.knownIDs())), 0)
+	is.True(a.add(later, 1<<40, quarantine.FailureReport{At: later}, netip.Addr{}))
+	is.Equal(len(b.missing(a.knownIDs())), 1) // the oldest one of b
+	missing := a.missing(b.knownIDs())
+	is.Equal(len(missing), 1)
+	is.True(a.digest(2*later) != b.digest(2*later))
+	is.True(b.add(later, missing[0].id, missing[0].FailureReport, netip.Addr{}))
+	is.Equal(a.digest(2*later), b.digest(2*later))
+	is.Equal(len(a.missing(nil)), maxReportsPerSync)
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -80,6 +80,8 @@
 	readOrder uint64
 	// transmissions counts how often the last change of the member was sent to peers.
 	transmissions int
+	// reports compares the failure reports of the peer with those of this instance.
+	reports reportSync
 	// previousIncarnation is the incarnation before the current one.
 	previousIncarnation uint32
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"encoding/binary"
 	"io"
@@ -121,18 +122,19 @@
 	return list, nil
 }
 
-func reportMessage(now time.Duration, s quarantine.FailureReport) *peerapi.FleetStrike {
-	return &peerapi.FleetStrike{Request: s.Request[:], Target: s.Target, AgeMs: uint32(max(0, now-s.At).Milliseconds()),
-		Completed: s.Completed}
+func reportMessage(now time.Duration, t *trackedReport) *peerapi.FleetStrike {
+	return &peerapi.FleetStrike{Id: t.id, Request: t.Request[:], Target: t.Target, AgeMs: uint32(max(0, now-t.At).Milliseconds()),
+		Completed: t.Completed}
 }
 
-func reportFromMessage(now time.Duration, m *peerapi.FleetStrike) (quarantine.FailureReport, error) {
-	s := quarantine.FailureReport{Target: m.GetTarget(), At: now - time.Duration(m.GetAgeMs())*time.Millisecond, Completed: m.GetCompleted()}
-	if len(m.GetRequest()) != len(s.Request) {
-		return s, errors.Errorf("request fingerprint has %d bytes, want %d", len(m.GetRequest()), len(s.Request))
+// reportFromMessage returns a failure report and its identifier.
+func reportFromMessage(now time.Duration, m *peerapi.FleetStrike) (uint64, quarantine.FailureReport, error) {
+	r := quarantine.FailureReport{Target: m.GetTarget(), At: now - time.Duration(m.GetAgeMs())*time.Millisecond, Completed: m.GetCompleted()}
+	if len(m.GetRequest()) != len(r.Request) {
+		return 0, r, errors.Errorf("request fingerprint has %d bytes, want %d", len(m.GetRequest()), len(r.Request))
 	}
-	s.Request = poison.Fingerprint(m.GetRequest())
-	return s, nil
+	r.Request = poison.Fingerprint(m.GetRequest())
+	return cmp.Or(m.GetId(), contentID(r)), r, nil
 }
 
 func addressesFromNumbers(list []uint32) []netip.Addr {
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -106,7 +106,7 @@
 		return !restarted && m.State.Has(Down) && r.live(now, p) && now-p.lastSeen > contactValidity
 	}
 	if restarted {
-		p.previousIncarnation, p.position = p.Incarnation, records.Position{}
+		p.previousIncarnation, p.position, p.reports = p.Incarnation, records.Position{}, reportSync{}
 	}
 	if restarted || m.State != p.State {
 		p.transmissions = 0
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -12,7 +12,6 @@
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
-	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -61,7 +60,7 @@
 	broadcastPosition  records.Position          // position up to which changes have been broadcast
 	broadcastScheduled bool                      // broadcastNow will run within broadcastDelay
 	broadcastScope     scope                     // scope of the scheduled broadcast
-	failureReports     failureReports            // recent reports of requests that may crash targets
+	failureReports     failureReports            // reports of requests that may crash targets
 }
 
 // New returns a task that does nothing until Run is called.
@@ -91,15 +90,6 @@
 	})
 }
 
-// ReportFailure sends a failure report to all other instances. It never blocks: its
-// callers own state that this task waits for in OnView and OnFailureReports.
-func (t *Task) ReportFailure(s quarantine.FailureReport) {
-	go t.loop.Post(func(time.Duration) {
-		t.failureReports.add(s, netip.Addr{})
-		t.scheduleBroadcast(scopeFew) // regular exchanges leave the failure domain only every two seconds
-	})
-}
-
 // Run serves peers, exchanges state with them and reads the store if this instance is a
 // reader, until the context ends. It returns nil then, and an error if it cannot serve
 // peers. It may be called once.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -12,10 +12,10 @@
 	// request that is sent up to three times may run on two targets that crash for
 	// another reason.
 	crashLimit = 3
-	// retention is how long after its last failure a request is tracked and, if it
+	// Retention is how long after its last failure a request is tracked and, if it
 	// reached crashLimit, blocked. Until then all its failures count: a request that
 	// comes back every few minutes crashes one target each time.
-	retention = 5 * time.Minute
+	Retention = 5 * time.Minute
 	// maxRequests bounds the memory of the tracker: when a failure domain fails,
 	// each request in progress there gets a failure report.
 	maxRequests = 4096
@@ -83,7 +83,7 @@
 // BlockedFor returns how long the request is still blocked, or 0 if it is not.
 func (t *Tracker) BlockedFor(now time.Duration, request poison.Fingerprint) time.Duration {
 	if r := t.records[request]; r != nil && len(r.failures) >= crashLimit {
-		return max(0, r.lastFailure+retention-now)
+		return max(0, r.lastFailure+Retention-now)
 	}
 	return 0
 }
@@ -92,7 +92,7 @@
 // and returns the number of requests that are still tracked.
 func (t *Tracker) Expire(now time.Duration) int {
 	for request, r := range t.records {
-		if now-r.lastFailure >= retention {
+		if now-r.lastFailure >= Retention {
 			delete(t.records, request)
 		}
 	}
