quarantine: keep a completed run that is reported before earlier failures

A completed run voids earlier failure reports of its request, but it was dropped if no failure of the request was known yet. Reports reach an instance in any order, the more so since those that it missed are sent together, so an innocent request could be blocked there.

The tracker now keeps the time of the run for as long as a failure. The case "completion reported first" failed before.

Soak: a crashing target goes down at once, also while another event on it is in progress; before, it served on until that ended and crashed several times.

--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -55,11 +55,11 @@
 // crash ends a target: its connections are reset, and after a while another
 // incarnation serves its address.
 func (f *fleet) crash(t *target) {
-	t.eventLock.Lock()
-	defer t.eventLock.Unlock()
 	from := f.now()
 	t.proxy.setState(proxyState{resetNew: true})
 	t.proxy.reset()
+	t.eventLock.Lock()
+	defer t.eventLock.Unlock()
 	time.Sleep(crashDowntime/4 + rand.N(crashDowntime*3/4))
 	f.unpublish(t)
 	t.update(func(entry *catalog.Target, _ *behaviour) { entry.ID, entry.Draining = successor(entry.ID), false })
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -30,25 +30,26 @@
 	records map[poison.Fingerprint]*requestRecord
 }
 
-// requestRecord holds the failures of one request since its last completed run.
+// requestRecord holds the failures of one request since its last completed run. Without
+// failures it keeps the time of that run, since earlier failures may be reported later.
 type requestRecord struct {
 	failures    map[uint64]time.Duration // time of the last failure by target
 	lastFailure time.Duration
 	completedAt time.Duration
 }
 
+// lastEvent returns the time of the last failure or completed run.
+func (r *requestRecord) lastEvent() time.Duration { return max(r.lastFailure, r.completedAt) }
+
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker { return &Tracker{records: make(map[poison.Fingerprint]*requestRecord)} }
 
 // Add adds a failure report and returns the number of targets with a failure of
 // the request since its last completed run. When the tracker is full, the request
-// with the oldest last failure is dropped.
+// with the oldest last report is dropped.
 func (t *Tracker) Add(report FailureReport) int {
 	r := t.records[report.Request]
 	if r == nil {
-		if report.Completed {
-			return 0
-		}
 		if len(t.records) >= maxRequests {
 			t.dropOldest()
 		}
@@ -88,11 +89,11 @@
 	return 0
 }
 
-// Expire drops the requests whose last failure is older than the retention time,
-// and returns the number of requests that are still tracked.
+// Expire drops the requests whose last report is older than the retention time, and
+// returns the number of requests that are still tracked.
 func (t *Tracker) Expire(now time.Duration) int {
 	for request, r := range t.records {
-		if now-r.lastFailure >= Retention {
+		if now-r.lastEvent() >= Retention {
 			delete(t.records, request)
 		}
 	}
@@ -103,8 +104,8 @@
 	var oldest poison.Fingerprint
 	oldestAt := time.Duration(math.MaxInt64)
 	for request, r := range t.records {
-		if r.lastFailure < oldestAt {
-			oldest, oldestAt = request, r.lastFailure
+		if at := r.lastEvent(); at < oldestAt {
+			oldest, oldestAt = request, at
 		}
 	}
 	delete(t.records, oldest)
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -32,6 +32,7 @@
 		"completed between":                 {[]quarantine.FailureReport{crash(1, 1), crash(2, 2), completed(3), crash(3, 4)}, time.Second, false},
 		"completed before":                  {[]quarantine.FailureReport{completed(1), crash(1, 2), crash(2, 3), crash(3, 4)}, time.Second, true},
 		"completed earlier, reported late":  {[]quarantine.FailureReport{crash(1, 2), crash(2, 3), crash(3, 4), completed(1)}, time.Second, true},
+		"completion reported first":         {[]quarantine.FailureReport{completed(4), crash(1, 1), crash(2, 2), crash(3, 3)}, time.Second, false},
 		"before the start of this instance": {[]quarantine.FailureReport{crash(1, -3), crash(2, -2), crash(3, -1)}, time.Second, true},
 		"partly before the start":           {[]quarantine.FailureReport{crash(1, -time.Minute), crash(2, 0), crash(3, 3)}, time.Second, true},
 		"completed before the start":        {[]quarantine.FailureReport{crash(1, -4), completed(-3), crash(2, -2), crash(3, -1)}, time.Second, false},
