gateway: look at the block of a request before each send

A request that was blocked while its first attempt was in progress could still be hedged to a second target, and one that waited for room was sent although it had been blocked meanwhile: the block was checked on arrival and before a retry only.

The block is now checked when a target has been selected, for all sends; the reserved target is released. TestBlockedRequestIsNotHedged failed before (200 from the second target instead of 504).

--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -102,3 +102,39 @@
 	is.Equal(f.total(), int64(6))
 	is.Equal(len(f.failureReports), 0)
 }
+
+// hang keeps the request until the gateway closes the connection.
+func hang(s *target, c net.Conn, _ *http.Request, _ []byte) bool {
+	s.ran.Add(1)
+	_, _ = c.Read(make([]byte, 1))
+	return false
+}
+
+// Guards against a hedge of a request that was blocked while its first attempt was in
+// progress.
+func TestBlockedRequestIsNotHedged(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", crash))
+	is.Equal(f.send(t, "POST", "/quick/x", "crash").status, 502)
+	report := f.awaitFailureReport(t)
+	var second *target
+	f.targets = []*target{startTarget(t, "b", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		var list []quarantine.FailureReport
+		for n := range uint64(3) {
+			list = append(list, quarantine.FailureReport{Request: report.Request, Target: n, At: report.At})
+		}
+		f.gateway.AddFailureReports(list)
+		return hang(s, c, r, body)
+	})}
+	f.configure(catalog.Limits{})
+	ended := make(chan int)
+	go func() { ended <- f.send(t, "POST", "/quick/x", "crash", "Deadline-Ms", "1000").status }()
+	for f.targets[0].ran.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second = startTarget(t, "c", run)
+	f.targets = append(f.targets, second)
+	f.configure(catalog.Limits{})
+	is.Equal(<-ended, 504)
+	is.Equal(second.ran.Load(), int64(0))
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,6 +50,7 @@
 		select {
 		case s := <-r.selected:
 			r.selecting, r.lastReports = false, s.reports
+			r.releaseIfBlocked(&s)
 			switch {
 			case s.refusal == nil:
 				r.startAttempt(s.reservation)
@@ -91,6 +92,29 @@
 	go func() { r.selected <- r.selectTarget(r.ctx, &request, p) }()
 }
 
+// releaseIfBlocked replaces a selected target by a refusal if the request has been
+// blocked since its arrival: it may have waited for the target, or this is a hedge.
+func (r *forwarder) releaseIfBlocked(s *selection) {
+	if s.refusal != nil {
+		return
+	}
+	blocked, err := r.blockedFor(r.ctx)
+	switch {
+	case err != nil:
+		s.refusal = r.stoppedRefusal()
+	case blocked > 0:
+		s.refusal = newRefusal(outcomeSuspect, blocked)
+	default:
+		return
+	}
+	r.release(s.reservation)
+}
+
+// release gives up a reserved target to which the request was not sent.
+func (r *forwarder) release(res reservation) {
+	r.gateway.scheduler.recordEnd(res, r.request.Route, placement.Outcome{}, placement.Load{})
+}
+
 // abandon releases the target that a selection in progress may still reserve.
 func (r *forwarder) abandon() {
 	if !r.selecting {
@@ -98,7 +122,7 @@
 	}
 	go func() {
 		if s := <-r.selected; s.refusal == nil {
-			r.gateway.scheduler.recordEnd(s.reservation, r.request.Route, placement.Outcome{}, placement.Load{})
+			r.release(s.reservation)
 		}
 	}()
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -157,6 +157,8 @@
 	return []catalog.Route{
 		{Name: "safe", Host: "127.0.0.1", Prefix: "/safe/", Idempotent: true, MaxAttempts: 3, Services: services,
 			Objective: 10 * time.Second, Timeout: testTimeout},
+		{Name: "quick", Host: "127.0.0.1", Prefix: "/quick/", Idempotent: true, MaxAttempts: 3, Services: services,
+			Objective: 100 * time.Millisecond, Timeout: testTimeout},
 		{Name: "unsafe", Host: "127.0.0.1", Prefix: "/unsafe/", MaxAttempts: 3, Services: services, Objective: 10 * time.Second,
 			Timeout: testTimeout},
 		{Name: "brief", Host: "127.0.0.1", Prefix: "/brief/", MaxAttempts: 1, Services: services, Timeout: 300 * time.Millisecond},
