gateway: check the target of an attempt that was given up

A failure report followed only an attempt whose connection broke. If a target falls silent while it runs a request that crashes it, the attempt ends at the deadline or with its caller, no report was made, and the request was never blocked.

When a request ends at its deadline or because its caller left, the targets of its open attempts are now probed like those of broken ones. A silent one may only be slow, so the report also needs a new connection that fails.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -4,16 +4,18 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
-	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/poison"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/transport"
 )
 
 // Origins of failure reports, as written to metrics.
@@ -77,23 +79,39 @@
 	}
 }
 
-// checkCrash probes a target whose attempt broke and, if it is down, adds a failure
-// report for the request. It returns at once.
-func (x *exchange) checkCrash(t *catalog.Target) {
+// checkCrash checks whether the target of an attempt that broke or was given up is down
+// and, if so, adds a failure report for the request. It returns at once.
+func (x *exchange) checkCrash(t *catalog.Target, broken bool) {
 	g := x.gateway
 	report := quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
 	ctx, id, path := context.WithoutCancel(x.caller.Context()), x.id, x.healthPath(t)
 	go func() {
 		backoff.Sleep(ctx, crashCheckDelay)
-		if _, result := g.sendProbe(ctx, t, path); result != placement.ProbeWell {
+		if g.isDown(ctx, t, path, broken) {
 			g.scheduler.recordCrash(report, id, t.ID)
-			return
+		} else if broken {
+			g.options.Log.Info("target answers after a broken attempt; no failure report", "id", id,
+				"fingerprint", report.Request.String(), "target", t.ID)
 		}
-		g.options.Log.Info("target answers after a broken attempt; no failure report", "id", id,
-			"fingerprint", report.Request.String(), "target", t.ID)
 	}()
 }
 
+// isDown reports whether a target is down after an attempt. If the attempt broke, one that
+// answers no probe is. If the connection stayed open, the target may only be slow: then it
+// must not accept connections either.
+func (g *Gateway) isDown(ctx context.Context, t *catalog.Target, path string, broken bool) bool {
+	response, err := g.probe(ctx, t, path, false)
+	if err == nil {
+		return response.StatusCode != http.StatusOK || !isFrom(&g.options.Dialect, response, t)
+	}
+	if broken {
+		return true
+	}
+	_, err = g.probe(ctx, t, path, true)
+	var failed *transport.Error
+	return errors.As(err, &failed) && failed.Step == transport.StepConnect
+}
+
 // recordCrash adds a report that a target was down after it got a request, and
 // passes it to the other instances. id is the request ID, for the log.
 func (s *scheduler) recordCrash(report quarantine.FailureReport, id, target string) {
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -138,3 +139,47 @@
 	is.Equal(<-ended, 504)
 	is.Equal(second.ran.Load(), int64(0))
 }
+
+// silence closes the target's listener while it runs a request with the body "crash",
+// and leaves the connections open without a response. Other requests are served.
+func silence(s *target, c net.Conn, r *http.Request, body []byte) bool {
+	if string(body) != "crash" {
+		return run(s, c, r, body)
+	}
+	_ = s.listener.Close()
+	return hang(s, c, r, body)
+}
+
+// Guards against a request that crashes targets without a report, since their connections
+// stay open: its attempt ends with the deadline or its caller.
+func TestCrashThatLeavesTheConnectionOpenIsReported(t *testing.T) {
+	t.Run("deadline", func(t *testing.T) {
+		f := start(t, startTarget(t, "a", silence))
+		is.New(t).Equal(f.send(t, "POST", "/brief/x", "crash").status, 504)
+		f.awaitFailureReport(t)
+	})
+	t.Run("caller gone", func(t *testing.T) {
+		is := is.New(t)
+		f := start(t, startTarget(t, "a", silence))
+		conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: i\r\nDeadline-Ms: 20000\r\nContent-Length: 5\r\n\r\ncrash")
+		is.NoErr(err)
+		for f.targets[0].ran.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		is.NoErr(conn.Close())
+		f.awaitFailureReport(t)
+	})
+}
+
+// Guards against a block of a request that only took too long at targets that run.
+func TestSlowTargetIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", hang), startTarget(t, "b", hang), startTarget(t, "c", hang))
+	for range 3 {
+		is.Equal(f.send(t, "POST", "/brief/x", "slow").status, 504)
+	}
+	time.Sleep(200 * time.Millisecond) // until the crash checks of the targets have ended
+	is.Equal(len(f.failureReports), 0)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -169,7 +169,7 @@
 		r.completed(a.Target)
 		return a.response
 	case attemptBroken:
-		r.checkCrash(a.Target)
+		r.checkCrash(a.Target, true)
 	}
 	if a.response != nil && r.targetFailure == nil {
 		r.targetFailure = a.response
@@ -229,8 +229,13 @@
 }
 
 // expired returns the response when the deadline has passed, or nil if the caller
-// is gone.
+// is gone. The targets of open attempts may have crashed without closing the connection.
 func (r *forwarder) expired() *response {
+	for _, a := range r.attempts {
+		if !a.finished || a.outcome == attemptTimedOut || a.outcome == attemptCancelled {
+			r.checkCrash(a.Target, false)
+		}
+	}
 	if r.caller.Context().Err() != nil {
 		return nil
 	}
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -155,34 +155,45 @@
 // arrives within probeTimeout, or if the response names another target. The end of
 // the request that needs the probe does not cancel it.
 func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) (placement.Report, placement.ProbeResult) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
 	d := &g.options.Dialect
-	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
-	resp, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
-		Header: http.Header{d.RequestID: {id}}, EchoHeader: d.RequestID})
-	if err != nil {
-		return placement.Report{}, placement.ProbeSilent
-	}
-	defer func() { _ = resp.Body.Close() }() // an error only closes the connection
-	if _, err := readAll(resp.Body, maxProbeBytes); err != nil {
-		return placement.Report{}, placement.ProbeSilent
-	}
-	respondent := resp.Header.Get(d.TargetID)
-	if respondent != "" && respondent != t.ID {
+	response, err := g.probe(ctx, t, path, false)
+	if err != nil || !isFrom(d, response, t) {
 		return placement.Report{}, placement.ProbeSilent
 	}
-	load, hasLoad := d.ParseLoad(resp.Header.Get(d.Load))
+	load, hasLoad := d.ParseLoad(response.Header.Get(d.Load))
 	if !hasLoad { // without a load report the target counts as idle
 		load = placement.Load{Slots: t.Slots, Slowness: 1}
 	}
 	report := placement.Report{Target: t, Load: load, At: g.options.Now()}
 	switch {
-	case resp.StatusCode == http.StatusOK:
+	case response.StatusCode == http.StatusOK:
 		return report, placement.ProbeWell
-	case hasLoad && respondent == t.ID: // a target without a load report gives no reason to doubt its answer
+	case hasLoad && response.Header.Get(d.TargetID) != "": // a target without a load report gives no reason to doubt its answer
 		return report, placement.ProbeIll
 	default:
 		return placement.Report{}, placement.ProbeSilent
 	}
 }
+
+// probe sends a probe and returns the response, whose body it has read. It fails if
+// no complete response arrives within probeTimeout.
+func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, newConnection bool) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	d := &g.options.Dialect
+	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
+	response, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
+		Header: http.Header{d.RequestID: {id}}, EchoHeader: d.RequestID, NewConnection: newConnection})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }() // an error only closes the connection
+	_, err = readAll(response.Body, maxProbeBytes)
+	return response, err
+}
+
+// isFrom reports whether a response to a probe is from the target, as far as it tells.
+func isFrom(d *Dialect, response *http.Response, t *catalog.Target) bool {
+	respondent := response.Header.Get(d.TargetID)
+	return respondent == "" || respondent == t.ID
+}
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -43,6 +43,7 @@
 	id       string
 	listener net.Listener
 	load     atomic.Value // string
+	health   atomic.Int32 // status of probes
 	// serve answers a request other than a probe, and reports whether the connection
 	// stays open.
 	serve func(t *target, conn net.Conn, r *http.Request, body []byte) bool
@@ -62,6 +63,7 @@
 	}
 	s := &target{id: id, listener: listener, serve: serve, conns: make(map[net.Conn]bool)}
 	s.load.Store("0,0,4")
+	s.health.Store(http.StatusOK)
 	s.done.Go(s.accept)
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -101,7 +103,7 @@
 			return
 		}
 		if r.URL.Path == "/health" {
-			s.respond(conn, 200, r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), "")
+			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), "")
 			continue
 		}
 		s.mu.Lock()
