gateway: a target that calls itself ill has not crashed

After a broken attempt each answer to the probe but "well" counted as a crash: a target that leaves or is ill, and answers so, made a failure report, which counts towards a block of an innocent request. Now only a target that does not answer, or another one at its address, does. TestIllTargetIsNoCrash failed before.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,7 +101,7 @@
 func (g *Gateway) isDown(ctx context.Context, t *catalog.Target, path string, broken bool) bool {
 	response, err := g.probe(ctx, t, path, false)
 	if err == nil {
-		return response.StatusCode != http.StatusOK || !isFrom(&g.options.Dialect, response, t)
+		return !isFrom(&g.options.Dialect, response, t)
 	}
 	if broken {
 		return true
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -183,3 +183,17 @@
 	time.Sleep(200 * time.Millisecond) // until the crash checks of the targets have ended
 	is.Equal(len(f.failureReports), 0)
 }
+
+// Guards against a block of a request because its targets call themselves ill: they have
+// not crashed.
+func TestIllTargetIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	ill := func(s *target, _ net.Conn, _ *http.Request, _ []byte) bool {
+		s.health.Store(503)
+		return false
+	}
+	f := start(t, startTarget(t, "a", ill))
+	is.Equal(f.send(t, "POST", "/unsafe/x", "x").status, 502)
+	time.Sleep(200 * time.Millisecond) // until the crash check has ended
+	is.Equal(len(f.failureReports), 0)
+}
