Block a request after two crashed targets, and not three for each request

Callers and operators saw each crash-causing request end three targets before it was held back, and after each loss of all instances, which lose what they know, three more. One request of an idempotent route could crash as many targets as the route allows attempts, before the first one was known to be down: its retries did not wait for the check of the target.

A completed run after one failure is sent to the others too, since one more failure would block the request there.

The tests with three crashes now expect two, which is stricter; one case of the tracker has one failure less after the completed run, as two would block. TestRetriesOfOneRequestCrashTwoTargets failed before (3 targets).

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -79,12 +79,14 @@
 }
 
 // checkCrash checks whether the target of an attempt that broke or was given up is down
-// and, if so, adds a failure report for the request. It returns at once.
-func (x *exchange) checkCrash(t *catalog.Target, broken bool) {
+// and, if so, adds a failure report for the request. It returns at once; done is called
+// after the check.
+func (x *exchange) checkCrash(t *catalog.Target, broken bool, done func()) {
 	g := x.gateway
 	report := quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
 	ctx, id, path := context.WithoutCancel(x.caller.Context()), x.id, x.healthPath(t)
 	go func() {
+		defer done()
 		backoff.Sleep(ctx, crashCheckDelay)
 		if g.isDown(ctx, t, path, broken) {
 			g.scheduler.recordCrash(report, id, t.ID)
@@ -130,11 +132,6 @@
 	s.suspectCount.Store(int64(s.reports.Expire(now)))
 }
 
-// completionReportThreshold is the number of failed targets from which a completion
-// of the request is reported to other instances. Most requests with one failed target
-// did not cause its crash and are never sent again.
-const completionReportThreshold = 2
-
 // recordCompletion adds a completion of a request that has failure reports. Other
 // requests are ignored.
 func (s *scheduler) recordCompletion(report quarantine.FailureReport) {
@@ -143,9 +140,7 @@
 			s.reports.Add(report)
 			s.log.Info("target completed a request with failure reports; earlier reports are void",
 				"fingerprint", report.Request.String(), "targets", failed)
-			if failed >= completionReportThreshold {
-				s.onFailureReport(report)
-			}
+			s.onFailureReport(report)
 		}
 	})
 }
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -50,7 +50,7 @@
 		targets = append(targets, startTarget(t, "t"+strconv.Itoa(i), crash))
 	}
 	f := start(t, targets...)
-	for range 3 {
+	for range 2 {
 		is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 502)
 		f.awaitFailureReport(t)
 	}
@@ -59,10 +59,25 @@
 	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 	is.NoErr(err)
 	is.True(after > 60)
-	is.Equal(f.total(), int64(3))
+	is.Equal(f.total(), int64(2))
 	is.Equal(f.send(t, "POST", "/unsafe/x", "another").status, 200)
 }
 
+// Guards against one request that crashes as many targets as its route allows attempts,
+// before the first of them is known to be down.
+func TestRetriesOfOneRequestCrashTwoTargets(t *testing.T) {
+	is := is.New(t)
+	var targets []*target
+	for i := range 6 {
+		targets = append(targets, startTarget(t, "t"+strconv.Itoa(i), crash))
+	}
+	f := start(t, targets...)
+	is.Equal(f.send(t, "POST", "/safe/x", "crash").status, 502)
+	is.Equal(f.total(), int64(2))
+	is.Equal(f.send(t, "POST", "/safe/x", "crash").status, 503)
+	is.Equal(f.total(), int64(2))
+}
+
 // Guards against ignoring failure reports from other instances, and against a block
 // although a target completed the request in between.
 func TestPeerFailureReportsCount(t *testing.T) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
 // maxRejections is the number of sends beyond the attempts of the route that are
@@ -26,7 +27,10 @@
 	// finished receives attempts that ended, selected the targets for new ones.
 	finished         chan finishedAttempt
 	selected         chan selection
-	active           int // attempts in progress
+	checked          chan struct{} // receives a value after each crash check
+	active           int           // attempts in progress
+	checks           int           // crash checks in progress
+	postponed        bool          // a retry waits for the crash checks
 	selecting        bool
 	lastHedgePlanned bool
 	hedgeTimer       *time.Timer
@@ -42,7 +46,7 @@
 	defer cancel() // cancels attempts that are still in progress
 	limit := x.request.Route.MaxAttempts + maxRejections + 1
 	r := &forwarder{exchange: x, ctx: ctx, finished: make(chan finishedAttempt, limit), selected: make(chan selection, limit),
-		hedgeTimer: time.NewTimer(time.Hour)}
+		checked: make(chan struct{}, limit), hedgeTimer: time.NewTimer(time.Hour)}
 	defer r.hedgeTimer.Stop()
 	defer r.abandon()
 	r.startSelection(firstSend)
@@ -67,13 +71,16 @@
 			if f.outcome == attemptTimedOut || ctx.Err() != nil {
 				return r.expired()
 			}
-			if r.mayRetry() && !r.isBlocked() {
-				r.startSelection(retrying)
-			} else if r.active == 0 && !r.selecting {
+			if !r.retry() && r.active == 0 && !r.selecting {
+				return r.finalResponse(nil)
+			}
+		case <-r.checked:
+			r.checks--
+			if r.postponed && !r.retry() && r.active == 0 && !r.selecting {
 				return r.finalResponse(nil)
 			}
 		case <-r.hedgeTimer.C:
-			if x.request.Route.Idempotent && r.mayRetry() {
+			if x.request.Route.Idempotent && r.mayRetry() && !r.awaitsChecks() {
 				r.startSelection(hedging)
 			}
 		case <-ctx.Done():
@@ -169,7 +176,8 @@
 		r.completed(a.Target)
 		return a.response
 	case attemptBroken:
-		r.checkCrash(a.Target, true)
+		r.checks++
+		r.checkCrash(a.Target, true, func() { r.checked <- struct{}{} })
 	}
 	if a.response != nil && r.targetFailure == nil {
 		r.targetFailure = a.response
@@ -201,11 +209,26 @@
 	return mayHaveRun < r.request.Route.MaxAttempts && len(r.attempts) < r.request.Route.MaxAttempts+maxRejections
 }
 
-// isBlocked reports whether the request is blocked because it crashed several
-// targets, including those reported by other instances since its first attempt.
-func (r *forwarder) isBlocked() bool {
-	remaining, err := r.blockedFor(r.ctx)
-	return err != nil || remaining > 0
+// retry starts the selection of a target for another attempt, and reports whether it
+// did or will do so after the crash checks in progress.
+func (r *forwarder) retry() bool {
+	r.postponed = false
+	if !r.mayRetry() {
+		return false
+	}
+	if blocked, err := r.blockedFor(r.ctx); err != nil || blocked > 0 {
+		return false
+	}
+	if r.postponed = r.awaitsChecks(); !r.postponed {
+		r.startSelection(retrying)
+	}
+	return true
+}
+
+// awaitsChecks reports whether the crash checks in progress decide if the request is
+// blocked. Without the wait a request could crash a target with each of its attempts.
+func (r *forwarder) awaitsChecks() bool {
+	return r.checks > 0 && r.failedTargets+r.checks >= quarantine.CrashLimit
 }
 
 // finalResponse returns the response when no further attempt is made. refusal is the
@@ -233,7 +256,7 @@
 func (r *forwarder) expired() *response {
 	for _, a := range r.attempts {
 		if !a.finished || a.outcome == attemptTimedOut || a.outcome == attemptCancelled {
-			r.checkCrash(a.Target, false)
+			r.checkCrash(a.Target, false, func() {})
 		}
 	}
 	if r.caller.Context().Err() != nil {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// crashLimit is the number of failed targets from which a request is blocked. A
-	// request that is sent up to three times may run on two targets that crash for
-	// another reason.
-	crashLimit = 3
+	// CrashLimit is the number of failed targets from which a request is blocked. Two
+	// targets in a row that are down right after the same request are rarely a
+	// coincidence, and each crash also ends all other requests on the target.
+	CrashLimit = 2
 	// Retention is how long after its last failure a request is tracked and, if it
-	// reached crashLimit, blocked. Until then all its failures count: a request that
+	// reached CrashLimit, blocked. Until then all its failures count: a request that
 	// comes back every few minutes crashes one target each time.
 	Retention = 5 * time.Minute
 	// maxRequests bounds the memory of the tracker: when a failure domain fails,
@@ -83,7 +83,7 @@
 
 // BlockedFor returns how long the request is still blocked, or 0 if it is not.
 func (t *Tracker) BlockedFor(now time.Duration, request poison.Fingerprint) time.Duration {
-	if r := t.records[request]; r != nil && len(r.failures) >= crashLimit {
+	if r := t.records[request]; r != nil && len(r.failures) >= CrashLimit {
 		return max(0, r.lastFailure+Retention-now)
 	}
 	return 0
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -27,15 +27,17 @@
 		blocked bool
 	}{
 		"three targets":                     {[]quarantine.FailureReport{crash(1, 1), crash(2, 2), crash(3, 3)}, time.Second, true},
-		"two targets":                       {[]quarantine.FailureReport{crash(1, 1), crash(2, 2)}, time.Second, false},
+		"two targets":                       {[]quarantine.FailureReport{crash(1, 1), crash(2, 2)}, time.Second, true},
+		"one target":                        {[]quarantine.FailureReport{crash(1, 1)}, time.Second, false},
 		"one target often":                  {[]quarantine.FailureReport{crash(1, 1), crash(1, 2), crash(1, 3)}, time.Second, false},
 		"completed between":                 {[]quarantine.FailureReport{crash(1, 1), crash(2, 2), completed(3), crash(3, 4)}, time.Second, false},
+		"completed between two":             {[]quarantine.FailureReport{crash(1, 1), completed(2), crash(2, 3)}, time.Second, false},
 		"completed before":                  {[]quarantine.FailureReport{completed(1), crash(1, 2), crash(2, 3), crash(3, 4)}, time.Second, true},
 		"completed earlier, reported late":  {[]quarantine.FailureReport{crash(1, 2), crash(2, 3), crash(3, 4), completed(1)}, time.Second, true},
 		"completion reported first":         {[]quarantine.FailureReport{completed(4), crash(1, 1), crash(2, 2), crash(3, 3)}, time.Second, false},
 		"before the start of this instance": {[]quarantine.FailureReport{crash(1, -3), crash(2, -2), crash(3, -1)}, time.Second, true},
 		"partly before the start":           {[]quarantine.FailureReport{crash(1, -time.Minute), crash(2, 0), crash(3, 3)}, time.Second, true},
-		"completed before the start":        {[]quarantine.FailureReport{crash(1, -4), completed(-3), crash(2, -2), crash(3, -1)}, time.Second, false},
+		"completed before the start":        {[]quarantine.FailureReport{crash(1, -4), completed(-3), crash(2, -2)}, time.Second, false},
 		"minutes apart":                     {[]quarantine.FailureReport{crash(1, 0), crash(2, 4*time.Minute), crash(3, 8*time.Minute)}, 12 * time.Minute, true},
 		"long ago":                          {[]quarantine.FailureReport{crash(1, 1), crash(2, 2), crash(3, 3)}, time.Hour, false},
 	} {
