gateway: a queued failure report counts before the next look at the block

The report of a crash is queued for the scheduler; the look at the block that followed it was skipped, since no request had failure reports yet, and the third attempt was made.

Reports that are queued now count as well, so the look waits behind them.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -54,7 +54,7 @@
 // crashed targets, 0 if it is not. It updates x.failedTargets.
 func (x *exchange) blockedFor(ctx context.Context) (time.Duration, error) {
 	s := x.gateway.scheduler
-	if s.suspectCount.Load() == 0 {
+	if !s.hasSuspects() {
 		return 0, nil // the common case; saves computing the fingerprint
 	}
 	request := x.fingerprint()
@@ -69,10 +69,16 @@
 	return blocked, err
 }
 
+// hasSuspects reports whether any request has failure reports. It is safe for concurrent
+// use.
+func (s *scheduler) hasSuspects() bool {
+	return s.queuedReports.Load() > 0 || s.suspectCount.Load() > 0
+}
+
 // completed records that a target completed the request, if any request has failure
 // reports.
 func (x *exchange) completed(t *catalog.Target) {
-	if s := x.gateway.scheduler; s.suspectCount.Load() > 0 {
+	if s := x.gateway.scheduler; s.hasSuspects() {
 		s.recordCompletion(quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t),
 			At: x.gateway.options.Now(), Completed: true})
 	}
@@ -116,9 +122,11 @@
 // recordCrash adds a report that a target was down after it got a request, and
 // passes it to the other instances. id is the request ID, for the log.
 func (s *scheduler) recordCrash(report quarantine.FailureReport, id, target string) {
+	s.queuedReports.Add(1) // a check of the block that follows must wait for the report
 	s.loop.Post(func(now time.Duration) {
 		count := s.reports.Add(report)
 		s.expireReports(now)
+		s.queuedReports.Add(-1)
 		s.log.Info("target is down after a request; failure report added",
 			"id", id, "fingerprint", report.Request.String(), "target", target,
 			"targets", count, "blocked_ms", s.reports.BlockedFor(now, report.Request).Milliseconds())
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -31,9 +31,11 @@
 	log             *slog.Logger
 	retryShares     map[string]*retry.BudgetShare // by service
 	// reports holds the failure reports. suspectCount is the number of requests in
-	// it, readable from any goroutine.
+	// it, and queuedReports the number of reports of this instance that are not yet in
+	// it; both are readable from any goroutine.
 	reports         *quarantine.Tracker
 	suspectCount    atomic.Int64
+	queuedReports   atomic.Int64
 	onFailureReport func(quarantine.FailureReport)
 	metrics         Metrics
 }
