An instance without contact with its peers blocks a request after one crash

With k such instances a request could crash two targets at each of them, beside the two of the others.

An instance that knows of others and has had no successful exchange for a second counts as isolated. It refuses a request whose last target was down, with a short Retry-After, since another instance or its own next contact may show that the target failed for another reason.

TestIsolatedInstanceBlocksAfterOneCrash; TestInstancesThatWereAwayGetFailureReports now also checks which instances count as isolated.

--- a/fleet/failure_reports_fleet_test.go
+++ b/fleet/failure_reports_fleet_test.go
@@ -38,6 +38,8 @@
 	c.setVersion(1)
 	c.startAll(6)
 	c.await("6 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 6 })
+	isolated := func(i *instance) bool { return i.Snapshot().Isolated }
+	c.await("contact", func(i *instance) bool { return !isolated(i) })
 	away, reporter := c.running[address(0, 6)], c.running[address(0, 2)]
 	c.links.cutOff(address(0, 6))
 	for target := range uint64(3) {
@@ -45,10 +47,12 @@
 	}
 	knows := func(i *instance) bool { return i == reporter || i.failureReports.Load() == 3 }
 	c.await("the failure reports", func(i *instance) bool { return i == away || knows(i) })
+	c.await("isolation of the one that is cut off", func(i *instance) bool { return isolated(i) == (i == away) })
 	time.Sleep(transmissionTime)
 	c.links.heal()
 	c.start(0, 9)
 	c.await("the failure reports, also where they were missed", knows)
+	c.await("contact", func(i *instance) bool { return !isolated(i) })
 }
 
 // Guards against failure reports that stay at the only instance that made them, since it
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -10,6 +10,9 @@
 	// Size is the number of instances that may be running, this one included, by which
 	// fleet-wide budgets are divided. An instance that falls silent counts for a while.
 	Size int
+	// Isolated is true while this instance has no contact with any of the others that may
+	// be running, so that it does not learn what they find.
+	Isolated bool
 }
 
 // Instance is one live instance. Domain is the index of its failure domain.
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -24,6 +24,9 @@
 	// storeFailedFor is how long after a failed call to the store an instance gives other
 	// instances precedence as readers.
 	storeFailedFor = 3 * time.Second
+	// isolatedAfter is the time without a successful exchange after which an instance that
+	// knows of others counts as isolated. It starts four exchanges a second.
+	isolatedAfter = time.Second
 )
 
 // Task takes part in the fleet for one instance and owns its copy of the shared state. All
@@ -50,12 +53,14 @@
 	storeAnsweredAt    time.Duration      // time of the store's last answer
 	storeFailedAt      time.Duration      // time of the last failed call since the last answer, 0 if none
 	storeFailing       bool               // the last call to the store failed
+	lastContact        time.Duration      // time of the last successful exchange, of either side
 	nextRound          time.Duration
 	round              int
 	exchanging         map[netip.Addr]bool       // peers with an exchange in progress
 	queued             map[netip.Addr]*broadcast // broadcasts to send to these peers in a next exchange
 	noReader           bool                      // no reader's heartbeat has arrived for readerTimeout
 	loggedLive         int                       // number of live instances that was logged last
+	loggedIsolated     bool                      // Isolated as it was logged last
 	pendingRelay       broadcast                 // broadcast to forward once its changes have arrived
 	broadcastPosition  records.Position          // position up to which changes have been broadcast
 	broadcastScheduled bool                      // broadcastNow will run within broadcastDelay
@@ -289,13 +294,16 @@
 			s.Live = append(s.Live, Instance{IP: p.IP, Domain: p.Domain})
 		}
 	}
+	s.Isolated = s.Size > 1 && now-t.lastContact > isolatedAfter
 	t.snapshot.Store(s)
 }
 
-// logLive logs the number of live instances if it has changed since the last tick.
+// logLive logs the number of live instances, and whether this one is isolated, if that has
+// changed since the last tick.
 func (t *Task) logLive() {
-	if live := len(t.snapshot.Load().Live); live != t.loggedLive {
-		t.options.Log.Info("live instances", "count", live, "before", t.loggedLive, "known", len(t.roster.peers)+1)
-		t.loggedLive = live
+	s := t.snapshot.Load()
+	if live := len(s.Live); live != t.loggedLive || s.Isolated != t.loggedIsolated {
+		t.options.Log.Info("live instances", "count", live, "before", t.loggedLive, "known", len(t.roster.peers)+1, "isolated", s.Isolated)
+		t.loggedLive, t.loggedIsolated = live, s.Isolated
 	}
 }
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -61,7 +61,7 @@
 	failedTargets := 0
 	blocked, err := owner.Call(ctx, s.loop, func(now time.Duration) time.Duration {
 		failedTargets = s.reports.FailedTargets(request)
-		return s.reports.BlockedFor(now, request)
+		return s.blockedFor(now, request)
 	})
 	if err == nil {
 		x.failedTargets = failedTargets
@@ -75,6 +75,16 @@
 	return s.queuedReports.Load() > 0 || s.suspectCount.Load() > 0
 }
 
+// blockedFor returns the time for which a request is still blocked, 0 if it is not. It
+// runs in the loop's goroutine.
+func (s *scheduler) blockedFor(now time.Duration, request poison.Fingerprint) time.Duration {
+	blocked := s.reports.BlockedFor(now, request, quarantine.CrashLimit)
+	if blocked == 0 && s.isolated() && s.reports.BlockedFor(now, request, quarantine.IsolatedCrashLimit) > 0 {
+		return defaultRetryAfter // others may know better, and so will this instance soon
+	}
+	return blocked
+}
+
 // completed records that a target completed the request, if any request has failure
 // reports.
 func (x *exchange) completed(t *catalog.Target) {
@@ -129,7 +139,7 @@
 		s.queuedReports.Add(-1)
 		s.log.Info("target is down after a request; failure report added",
 			"id", id, "fingerprint", report.Request.String(), "target", target,
-			"targets", count, "blocked_ms", s.reports.BlockedFor(now, report.Request).Milliseconds())
+			"targets", count, "blocked_ms", s.blockedFor(now, report.Request).Milliseconds())
 		s.metrics.FailureReports(originSelf, 1)
 		s.onFailureReport(report)
 	})
@@ -157,9 +167,9 @@
 func (s *scheduler) addFailureReports(list []quarantine.FailureReport) {
 	s.loop.Post(func(now time.Duration) {
 		for _, report := range list {
-			before := s.reports.BlockedFor(now, report.Request)
+			before := s.blockedFor(now, report.Request)
 			count := s.reports.Add(report)
-			if after := s.reports.BlockedFor(now, report.Request); (after > 0) != (before > 0) {
+			if after := s.blockedFor(now, report.Request); (after > 0) != (before > 0) {
 				s.log.Warn("failure report from peer changed whether a request is blocked",
 					"fingerprint", report.Request.String(), "targets", count, "blocked_ms", after.Milliseconds(), "age_ms", (now - report.At).Milliseconds())
 			}
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -78,6 +78,23 @@
 	is.Equal(f.total(), int64(2))
 }
 
+// Guards against instances that are cut off from each other and crash as many targets each
+// as the fleet may together, and against a long block by one that knows little.
+func TestIsolatedInstanceBlocksAfterOneCrash(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", crash))
+	f.isolated.Store(true)
+	is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 502)
+	f.awaitFailureReport(t)
+	f.targets = append(f.targets, startTarget(t, "b", run))
+	f.configure(catalog.Limits{})
+	got := f.send(t, "POST", "/unsafe/x", "crash")
+	is.Equal(got.status, 503)
+	is.Equal(got.header.Get("Retry-After"), "0.300")
+	f.isolated.Store(false)
+	is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 200)
+}
+
 // Guards against ignoring failure reports from other instances, and against a block
 // although a target completed the request in between.
 func TestPeerFailureReportsCount(t *testing.T) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -228,7 +228,11 @@
 // awaitsChecks reports whether the crash checks in progress decide if the request is
 // blocked. Without the wait a request could crash a target with each of its attempts.
 func (r *forwarder) awaitsChecks() bool {
-	return r.checks > 0 && r.failedTargets+r.checks >= quarantine.CrashLimit
+	limit := quarantine.CrashLimit
+	if r.gateway.options.Isolated() {
+		limit = quarantine.IsolatedCrashLimit
+	}
+	return r.checks > 0 && r.failedTargets+r.checks >= limit
 }
 
 // finalResponse returns the response when no further attempt is made. refusal is the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	o.LocalReportWait = cmp.Or(o.LocalReportWait, defaultLocalReportWait)
 	o.RemoteReportWait = cmp.Or(o.RemoteReportWait, defaultRemoteReportWait)
 	o.ConfigWait = cmp.Or(o.ConfigWait, defaultConfigWait)
+	if o.Isolated == nil {
+		o.Isolated = func() bool { return false }
+	}
 	g := &Gateway{options: o, scheduler: newScheduler(o), configured: make(chan struct{})}
 	g.memory.limit = o.BodyBytes
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -32,6 +32,9 @@
 	View func() *catalog.View
 	// Instances returns the number of instances that may be alive.
 	Instances func() int
+	// Isolated reports whether this instance has no contact with others that may be alive,
+	// so that it gets no failure reports from them. Nil: never.
+	Isolated func() bool
 	// RetryBudget limits retries and hedged requests.
 	RetryBudget RetryBudget
 	// ProbesPerTarget limits the probes per second that a target gets from all
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -27,6 +27,7 @@
 	retryBudget     RetryBudget
 	budgetOffset    float64 // BudgetShare.Offset of all services
 	instances       func() int
+	isolated        func() bool
 	probesPerTarget float64
 	log             *slog.Logger
 	retryShares     map[string]*retry.BudgetShare // by service
@@ -43,7 +44,7 @@
 func newScheduler(o Options) *scheduler {
 	return &scheduler{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
-		budgetOffset: o.Random.Float64(), instances: o.Instances, probesPerTarget: o.ProbesPerTarget, log: o.Log,
+		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
 		metrics: o.Metrics}
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -150,6 +150,8 @@
 	server  *httptest.Server
 	view    atomic.Pointer[catalog.View]
 	targets []*target
+	// isolated is the result of Options.Isolated.
+	isolated atomic.Bool
 	// failureReports receives the reports for other instances.
 	failureReports chan quarantine.FailureReport
 }
@@ -181,6 +183,7 @@
 	begin := time.Now()
 	f.gateway = gateway.New(gateway.Options{Dialect: dialect, FailureDomain: "z", View: f.view.Load,
 		Instances:   func() int { return 1 },
+		Isolated:    f.isolated.Load,
 		RetryBudget: gateway.RetryBudget{Ratio: 1, Window: time.Minute, Allowance: 1000, NewFleet: true},
 		BodyBytes:   1 << 20, ConfigWait: testTimeout,
 		// Long, so that no report is ignored on a busy machine.
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	}
 	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
 		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
+		Isolated:    func() bool { return n.fleet.Snapshot().Isolated },
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		BodyBytes:       int64(bodyMemoryShare * float64(o.Settings.MemoryBytes)),
 		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -12,6 +12,9 @@
 	// targets in a row that are down right after the same request are rarely a
 	// coincidence, and each crash also ends all other requests on the target.
 	CrashLimit = 2
+	// IsolatedCrashLimit replaces CrashLimit at an instance without contact with others,
+	// which does not get their reports: each such instance would crash as many.
+	IsolatedCrashLimit = 1
 	// Retention is how long after its last failure a request is tracked and, if it
 	// reached CrashLimit, blocked. Until then all its failures count: a request that
 	// comes back every few minutes crashes one target each time.
@@ -81,9 +84,10 @@
 	return 0
 }
 
-// BlockedFor returns how long the request is still blocked, or 0 if it is not.
-func (t *Tracker) BlockedFor(now time.Duration, request poison.Fingerprint) time.Duration {
-	if r := t.records[request]; r != nil && len(r.failures) >= CrashLimit {
+// BlockedFor returns how long a request is still blocked that is held back from limit
+// failed targets on, or 0 if it is not blocked.
+func (t *Tracker) BlockedFor(now time.Duration, request poison.Fingerprint, limit int) time.Duration {
+	if r := t.records[request]; r != nil && len(r.failures) >= limit {
 		return max(0, r.lastFailure+Retention-now)
 	}
 	return 0
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -47,8 +47,8 @@
 			for _, report := range c.reports {
 				tracker.Add(report)
 			}
-			is.Equal(tracker.BlockedFor(c.now, fingerprint(1)) > 0, c.blocked)
-			is.Equal(tracker.BlockedFor(c.now, fingerprint(2)), time.Duration(0)) // another request
+			is.Equal(tracker.BlockedFor(c.now, fingerprint(1), quarantine.CrashLimit) > 0, c.blocked)
+			is.Equal(tracker.BlockedFor(c.now, fingerprint(2), 1), time.Duration(0)) // another request
 		})
 	}
 }
