A stopping instance passes its last failure reports on

An instance that stops ended with its last request. The check whether that request crashed its target takes up to 0.2 s more, and the report was sent 30 ms later, so a report of which it was the only holder could be lost; the request then crashed one target more.

At the end of the drain the node waits for the crash checks in progress, and then until a peer has each report, for 0.7 s at most and within the shutdown timeout. TestStoppingInstancePassesItsFailureReportsOn and TestCrashChecksAreAwaited call what did not exist before; without the waits both fail.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -168,6 +168,9 @@
 	}
 	t.exchanging[ip] = true
 	t.send(conn, state, func(now time.Duration, answer *peerapi.FleetState, err error) {
+		if err == nil {
+			t.failureReports.markDelivered(state.Strikes)
+		}
 		t.handleAnswer(now, ip, b, answer, err)
 	})
 }
--- a/fleet/failure_reports.go
+++ b/fleet/failure_reports.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/poison"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
@@ -60,6 +61,9 @@
 	// localTransmissions and remoteTransmissions count the transmissions within this
 	// failure domain and to others.
 	localTransmissions, remoteTransmissions int
+	// delivered is true once a peer has the report: it sent it, or took part in an exchange
+	// that contained it.
+	delivered bool
 }
 
 // contentID returns the identifier of a report by an instance that draws none: reports
@@ -87,10 +91,29 @@
 		s.remove(func(t *trackedReport) bool { return t == oldest })
 	}
 	s.ids[id] = true
-	s.list = append(s.list, &trackedReport{FailureReport: report, id: id, sender: sender})
+	s.list = append(s.list, &trackedReport{FailureReport: report, id: id, sender: sender, delivered: sender.IsValid()})
 	return true
 }
 
+// markDelivered records that a peer has received reports.
+func (s *failureReports) markDelivered(sent []*peerapi.FleetStrike) {
+	if len(sent) == 0 {
+		return
+	}
+	ids := make(map[uint64]bool, len(sent))
+	for _, m := range sent {
+		ids[m.GetId()] = true
+	}
+	for _, t := range s.list {
+		t.delivered = t.delivered || ids[t.id]
+	}
+}
+
+// undelivered reports whether there are reports that no peer has.
+func (s *failureReports) undelivered() bool {
+	return slices.ContainsFunc(s.list, func(t *trackedReport) bool { return !t.delivered })
+}
+
 func (s *failureReports) remove(match func(*trackedReport) bool) {
 	s.list = slices.DeleteFunc(s.list, func(t *trackedReport) bool {
 		if !match(t) {
--- a/fleet/failure_reports_fleet_test.go
+++ b/fleet/failure_reports_fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -71,3 +72,19 @@
 	c.links.heal()
 	c.await("the failure reports", func(i *instance) bool { return i == reporter || i.failureReports.Load() == 3 })
 }
+
+// Guards against a failure report that is lost with the only instance that has it, which
+// stops right after it made the report.
+func TestStoppingInstancePassesItsFailureReportsOn(t *testing.T) {
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	c.startAll(2)
+	c.await("4 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 4 })
+	reporter := c.running[address(0, 2)]
+	reporter.ReportFailure(quarantine.FailureReport{Target: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	reporter.FlushReports(ctx)
+	c.stop(address(0, 2))
+	c.await("the failure report", func(i *instance) bool { return i.failureReports.Load() == 1 })
+}
--- a/fleet/reportsync.go
+++ b/fleet/reportsync.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
+	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
@@ -23,12 +26,31 @@
 // ReportFailure sends a failure report to all other instances. It never blocks: its
 // callers own state that this task waits for in OnView and OnFailureReports.
 func (t *Task) ReportFailure(r quarantine.FailureReport) {
+	t.queuedReports.Add(1)
 	go t.loop.Post(func(now time.Duration) {
 		t.failureReports.add(now, rand.Uint64(), r, netip.Addr{})
+		t.queuedReports.Add(-1)
 		t.scheduleBroadcast(scopeFew) // regular exchanges leave the failure domain only every two seconds
 	})
 }
 
+// flushPollInterval is the time between two looks at the undelivered reports.
+const flushPollInterval = 5 * time.Millisecond
+
+// FlushReports waits until another instance has each report of ReportFailure, or the
+// context ends. Without it a report would be lost with an instance that stops.
+func (t *Task) FlushReports(ctx context.Context) {
+	for ctx.Err() == nil {
+		undelivered, err := owner.Call(ctx, t.loop, func(time.Duration) bool {
+			return len(t.roster.peers) > 0 && t.failureReports.undelivered()
+		})
+		if err != nil || !undelivered && t.queuedReports.Load() == 0 {
+			return
+		}
+		backoff.Sleep(ctx, flushPollInterval)
+	}
+}
+
 // putFailureReports adds to a state for a peer the failure reports that are due for
 // transmission and those that the peer lacks, the digest, and, if this instance may lack
 // reports of the peer, the identifiers of its own.
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -101,7 +101,9 @@
 	g := x.gateway
 	report := quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
 	ctx, id, path := context.WithoutCancel(x.caller.Context()), x.id, x.healthPath(t)
+	g.crashChecks.Add(1)
 	go func() {
+		defer g.crashChecks.Add(-1)
 		defer done()
 		backoff.Sleep(ctx, crashCheckDelay)
 		if g.isDown(ctx, t, path, broken) {
@@ -113,6 +115,18 @@
 	}()
 }
 
+// checkPollInterval is the time between two looks at the crash checks in progress.
+const checkPollInterval = 5 * time.Millisecond
+
+// AwaitCrashChecks waits until the crash checks in progress have ended and their reports
+// have been passed to Options.OnFailureReport, or the context ends. The requests that
+// caused them may have ended before.
+func (g *Gateway) AwaitCrashChecks(ctx context.Context) {
+	for (g.crashChecks.Load() > 0 || g.scheduler.queuedReports.Load() > 0) && ctx.Err() == nil {
+		backoff.Sleep(ctx, checkPollInterval)
+	}
+}
+
 // isDown reports whether a target is down after an attempt. If the attempt broke, one that
 // answers no probe is. If the connection stayed open, the target may only be slow: then it
 // must not accept connections either.
@@ -136,12 +150,12 @@
 	s.loop.Post(func(now time.Duration) {
 		count := s.reports.Add(report)
 		s.expireReports(now)
-		s.queuedReports.Add(-1)
 		s.log.Info("target is down after a request; failure report added",
 			"id", id, "fingerprint", report.Request.String(), "target", target,
 			"targets", count, "blocked_ms", s.blockedFor(now, report.Request).Milliseconds())
 		s.metrics.FailureReports(originSelf, 1)
 		s.onFailureReport(report)
+		s.queuedReports.Add(-1)
 	})
 }
 
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -122,6 +123,18 @@
 	}
 }
 
+// Guards against an instance that stops before it knows whether its last request crashed a
+// target.
+func TestCrashChecksAreAwaited(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", crash))
+	is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 502)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f.gateway.AwaitCrashChecks(ctx)
+	is.Equal(len(f.failureReports), 1)
+}
+
 // Guards against a block of a request whose connections broke although its targets
 // kept running.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	connectionLimits sync.Map      // by address, int
 	probes           atomic.Uint64 // sent so far, numbers their IDs
 	inFlight         atomic.Int64
+	crashChecks      atomic.Int64 // in progress
 	// configured is closed when the first configuration arrives.
 	configured     chan struct{}
 	configuredOnce sync.Once
--- a/node/run.go
+++ b/node/run.go
@@ -17,6 +17,9 @@
 	// lastRequestWait is how long after the last connection is accepted its request is
 	// still served. Later ones are refused, since they might not end in time.
 	lastRequestWait = 200 * time.Millisecond
+	// reportTimeout bounds the time at the end of the drain for the last failure reports:
+	// the check of a target and one exchange with a peer.
+	reportTimeout = 700 * time.Millisecond
 	// shutdownMargin is the time between the end of the drain and the platform's
 	// shutdown timeout, after which the platform kills the process.
 	shutdownMargin = 300 * time.Millisecond
@@ -65,8 +68,8 @@
 
 // drain makes peers remove this instance from the lists for callers, serves new
 // requests for a while and asks their callers to close the connection, accepts the
-// connections that are queued, and then refuses new requests and waits for those in
-// progress, all within the shutdown timeout.
+// connections that are queued, then refuses new requests and waits for those in progress,
+// and passes on the last failure reports, all within the shutdown timeout.
 func (n *Node) drain(ctx context.Context) {
 	limit := n.settings.Load().Bounds.ShutdownTimeout - shutdownMargin
 	n.options.Log.Info("shutdown requested, draining", "in_flight", n.gateway.InFlight(), "limit_ms", limit.Milliseconds())
@@ -87,4 +90,8 @@
 			n.options.Log.Warn("server shutdown incomplete, requests in progress are cut", "error", err.Error(), "in_flight", n.gateway.InFlight())
 		}
 	}
+	ctx, cancel = context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	n.gateway.AwaitCrashChecks(ctx)
+	n.fleet.FlushReports(ctx)
 }
