poison: exchange all records of suspected requests, not the oldest four

An instance that missed the broadcast of a record gets it with the regular exchanges. These hold four records, and they were always the four oldest ones; only an instance without any state asks for all. With more than four, an instance that had been cut off or frozen never learned of the later blocks.

Each message now holds four records chosen at random. A cycle could align with the peers to which the messages go. TestAllNoticesAreSentAfterAWhile; the first four alone are what the function before returned.

--- a/poison.go
+++ b/poison.go
@@ -82,17 +82,16 @@
 	_ = n.poison.Merge(ctx, list...) // fails only on a timeout or when the task has ended
 }
 
-// NoticesToSend implements membership.Notices. Few requests crash targets, so all
-// notices normally fit within the limit.
+// NoticesToSend implements membership.Notices.
 func (n noticeExchange) NoticesToSend(limit int) []*peerapi.Notice {
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
-	list, err := n.poison.Notices(ctx)
+	list, err := n.poison.SomeNotices(ctx, limit)
 	if err != nil {
 		return nil
 	}
-	messages := make([]*peerapi.Notice, 0, min(limit, len(list)))
-	for k := range list[:min(limit, len(list))] {
+	messages := make([]*peerapi.Notice, 0, len(list))
+	for k := range list {
 		messages = append(messages, noticeMessage(&list[k]))
 	}
 	return messages
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// Notices returns notices of all records, for the first exchange with a new peer.
+// Notices returns notices of all records.
 func (d *Detector) Notices(now time.Duration) []Notice {
 	d.table.prune(now)
 	notices := make([]Notice, 0, d.table.count)
@@ -60,6 +60,14 @@
 	return notices
 }
 
+// SomeNotices returns notices of at most limit records, chosen at random, so that a peer
+// that missed broadcasts receives each of them after a while.
+func (d *Detector) SomeNotices(now time.Duration, limit int) []Notice {
+	notices := d.Notices(now)
+	d.random.Shuffle(len(notices), func(i, j int) { notices[i], notices[j] = notices[j], notices[i] })
+	return notices[:min(limit, len(notices))]
+}
+
 // notice returns the notice of a record for peers.
 func (r record) notice(now time.Duration, f Fingerprint) Notice {
 	return Notice{Fingerprint: f, ID: r.id, State: r.state, CrashedTarget: r.crashedTarget, Expires: r.expiresAt - now}
--- a/poison/detector_test.go
+++ b/poison/detector_test.go
@@ -116,6 +116,22 @@
 	is.Equal(len(d.Notices(0)), d.RecordCount())
 }
 
+// Guards against records that a peer which missed their broadcast never receives, since
+// one message holds only a few and always the same ones.
+func TestAllNoticesAreSentAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	a, b := newDetector(1, Options{}), newDetector(2, Options{})
+	for i := range byte(40) {
+		a.Merge(0, Notice{Fingerprint: Fingerprint{i}, ID: 1, State: StateBlocked, Expires: time.Hour})
+	}
+	for range 200 {
+		notices := a.SomeNotices(0, 4)
+		is.Equal(len(notices), 4)
+		b.Merge(0, notices...)
+	}
+	is.Equal(b.RecordCount(), a.RecordCount())
+}
+
 // Guards against instances that come to different restrictions because notices
 // reached them in a different order, repeatedly, or only in a later exchange.
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -297,7 +297,7 @@
 		s.send("i0", crasher, "t0")
 		s.send("i4", crasher, "t1") // not a trial, because i4 has no record: the second attributed crash
 		s.unresponsive.Store("")
-		notices, err := s.tasks["i0"].Notices(t.Context())
+		notices, err := s.tasks["i0"].SomeNotices(t.Context(), 100)
 		is.NoErr(err)
 		is.NoErr(s.tasks["i4"].Merge(t.Context(), notices...))
 		for name := range s.tasks {
--- a/poison/taskpeers.go
+++ b/poison/taskpeers.go
@@ -18,9 +18,9 @@
 	return err
 }
 
-// Notices returns notices of all records, for the first exchange with a new peer.
-func (t *Task) Notices(ctx context.Context) ([]Notice, error) {
-	return owner.Call(ctx, t.loop, t.detector.Notices)
+// SomeNotices returns notices for an exchange with a peer, see Detector.SomeNotices.
+func (t *Task) SomeNotices(ctx context.Context, limit int) ([]Notice, error) {
+	return owner.Call(ctx, t.loop, func(now time.Duration) []Notice { return t.detector.SomeNotices(now, limit) })
 }
 
 // SetMembers replaces the set of live instances, which includes self; see
