gateway: read, log and count what targets say about the requests that they want

A target may name the requests a second that it takes, say that it leaves, or ask for none for some seconds. The logs did not show that, so a limit that is not kept could not be told from one that is not known.

Responses to requests and probes are parsed for it, and changes are logged with the kind of the response and counted. No decision uses it yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,6 +37,9 @@
 	endedAt  time.Duration
 	// load is the load report in the response; Slots is 0 if there was none.
 	load placement.Load
+	// advice is what the target says in its response, if advised is set.
+	advice  placement.Advice
+	advised bool
 }
 
 // attemptOutcome is how an attempt ended, as written to logs and metrics.
@@ -73,6 +76,9 @@
 			if load, ok := g.options.Dialect.ParseLoad(resp.Header.Get(g.options.Dialect.Load)); ok {
 				e.load = load
 			}
+			if resp.StatusCode != http.StatusMisdirectedRequest { // that is the response of another target
+				e.advice, e.advised = g.options.Dialect.ParseAdvice(resp.StatusCode, resp.Header), true
+			}
 			return e
 		}
 	}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/dogwoodroute/dogwoodroute/placement"
+import (
+	"net/http"
+
+	"github.com/dogwoodroute/dogwoodroute/placement"
+)
 
 // Dialect defines the headers that callers and targets use.
 type Dialect struct {
@@ -20,6 +24,9 @@
 	// it is missing or malformed.
 	Load      string
 	ParseLoad func(value string) (placement.Load, bool)
+	// ParseAdvice returns what a target says in a response about the requests that it
+	// wants. Headers that are missing or malformed say nothing.
+	ParseAdvice func(status int, header http.Header) placement.Advice
 	// TargetID holds the ID of the target that answers a probe.
 	TargetID string
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -144,6 +144,9 @@
 	outgoing := r.outgoingRequest(a)
 	go func() {
 		e := r.send(r.ctx, outgoing)
+		if e.advised {
+			r.gateway.scheduler.recordAdvice(res.Target.Incarnation(), e.advice)
+		}
 		r.gateway.scheduler.recordEnd(res, r.request.Route, e.placementOutcome(res), e.load)
 		r.finished <- finishedAttempt{attempt: a, attemptEnd: e}
 	}()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -70,4 +70,7 @@
 	Attempt(outcome string)
 	// FailureReports counts failure reports of requests by origin, "self" or "peer".
 	FailureReports(origin string, n int)
+	// TargetAdvice counts changes in what targets say about the requests that they want, by
+	// kind: "leaving", "retry-after", "limit" or "none".
+	TargetAdvice(kind string)
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -120,18 +120,51 @@
 	})
 }
 
-// recordProbe records the result of a probe and its report, if there is one.
-func (s *scheduler) recordProbe(id catalog.Incarnation, r placement.Report, result placement.ProbeResult) {
+// recordProbe records the answer to a probe.
+func (s *scheduler) recordProbe(id catalog.Incarnation, answer probeAnswer) {
 	s.loop.Post(func(now time.Duration) {
-		if s.placer.Probed(now, id, result) {
-			s.log.Info("target probe status changed", "target", id.ID, "answers", result != placement.ProbeSilent)
+		if s.placer.Probed(now, id, answer.result) {
+			s.log.Info("target probe status changed", "target", id.ID, "answers", answer.result != placement.ProbeSilent)
 		}
-		if r.Target != nil {
-			s.placer.Reported(r)
+		if answer.result != placement.ProbeSilent {
+			s.advised(id, answer.advice, true)
+		}
+		if answer.report.Target != nil {
+			s.placer.Reported(answer.report)
 		}
 	})
 }
 
+// recordAdvice records what a target says in the response to a request.
+func (s *scheduler) recordAdvice(id catalog.Incarnation, a placement.Advice) {
+	s.loop.Post(func(time.Duration) { s.advised(id, a, false) })
+}
+
+// advised records what a target says about the requests that it wants, in the response to
+// a probe if probe is set. It runs in the loop's goroutine.
+func (s *scheduler) advised(id catalog.Incarnation, a placement.Advice, probe bool) {
+	if !s.placer.Advised(id, a, probe) {
+		return
+	}
+	s.log.Info("target advice changed", "target", id.ID, "leaving", a.Leaving, "limited", a.Limited, "per_second", a.PerSecond,
+		"retry_after_ms", a.RetryAfter.Milliseconds(), "probe", probe)
+	s.metrics.TargetAdvice(adviceKind(a))
+}
+
+// adviceKind returns the kind of an advice as written to metrics.
+func adviceKind(a placement.Advice) string {
+	switch {
+	case a.Leaving:
+		return "leaving"
+	case a.RetryAfter > 0:
+		return "retry-after"
+	case a.Limited:
+		return "limit"
+	default:
+		return "none"
+	}
+}
+
 // predictedReports returns the probable load of the service's targets, for a choice
 // without probes.
 func (s *scheduler) predictedReports(ctx context.Context, r *placement.Request) ([]placement.Report, error) {
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -140,39 +140,48 @@
 	return "/"
 }
 
-// probeAndRecord probes a target, passes the result to the scheduler, and sends the
+// probeAndRecord probes a target, passes the answer to the scheduler, and sends its
 // report to reports unless that would block.
 func (g *Gateway) probeAndRecord(ctx context.Context, t *catalog.Target, path string, reports chan<- placement.Report) {
-	report, result := g.sendProbe(ctx, t, path)
-	g.scheduler.recordProbe(t.Incarnation(), report, result)
+	answer := g.sendProbe(ctx, t, path)
+	g.scheduler.recordProbe(t.Incarnation(), answer)
 	select {
-	case reports <- report:
+	case reports <- answer.report:
 	default: // the channel is full, as no receiver is left
 	}
 }
 
+// probeAnswer is the answer of a target to a probe.
+type probeAnswer struct {
+	result placement.ProbeResult
+	report placement.Report // Target is nil if there is none
+	advice placement.Advice // valid unless the result is ProbeSilent
+}
+
 // sendProbe probes a target. The result is ProbeSilent if no complete response
 // arrives within probeTimeout, or if the response names another target. The end of
 // the request that needs the probe does not cancel it.
-func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) (placement.Report, placement.ProbeResult) {
+func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) probeAnswer {
 	d := &g.options.Dialect
 	response, err := g.probe(ctx, t, path, false)
 	if err != nil || !isFrom(d, response, t) {
-		return placement.Report{}, placement.ProbeSilent
+		return probeAnswer{}
 	}
 	load, hasLoad := d.ParseLoad(response.Header.Get(d.Load))
 	if !hasLoad { // without a load report the target counts as idle
 		load = placement.Load{Slots: t.Slots, Slowness: 1}
 	}
-	report := placement.Report{Target: t, Load: load, At: g.options.Now()}
+	answer := probeAnswer{report: placement.Report{Target: t, Load: load, At: g.options.Now()},
+		advice: d.ParseAdvice(response.StatusCode, response.Header)}
 	switch {
 	case response.StatusCode == http.StatusOK:
-		return report, placement.ProbeWell
+		answer.result = placement.ProbeWell
 	case hasLoad && response.Header.Get(d.TargetID) != "": // a target without a load report gives no reason to doubt its answer
-		return report, placement.ProbeIll
+		answer.result = placement.ProbeIll
 	default:
-		return placement.Report{}, placement.ProbeSilent
+		return probeAnswer{}
 	}
+	return answer
 }
 
 // probe sends a probe and returns the response, whose body it has read. It fails if
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -36,6 +36,11 @@
 		_, err := fmt.Sscanf(value, "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
 		l.Slowness = 1
 		return l, err == nil
+	}, ParseAdvice: func(status int, header http.Header) placement.Advice {
+		limit, err := strconv.ParseFloat(header.Get("Limit"), 64)
+		pause, _ := strconv.Atoi(header.Get("Pause-Ms")) // 0 if there is none
+		return placement.Advice{Leaving: header.Get("Leaving") != "", PerSecond: limit, Limited: err == nil,
+			RetryAfter: time.Duration(pause) * time.Millisecond}
 	}}
 
 // target is a server whose responses a test defines.
@@ -143,6 +148,7 @@
 func (noMetrics) Refusal(string)                {}
 func (noMetrics) Attempt(string)                {}
 func (noMetrics) FailureReports(string, int)    {}
+func (noMetrics) TargetAdvice(string)           {}
 
 // fixture is a gateway in front of targets.
 type fixture struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -34,6 +34,7 @@
 	attempts *tagged[tally.Counter]
 	expired  *tagged[tally.Counter]
 	reports  *tagged[tally.Counter]
+	advice   *tagged[tally.Counter]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
 }
@@ -68,6 +69,9 @@
 	m.reports = newTagged(func(origin string) tally.Counter {
 		return scope.Tagged(map[string]string{tagOrigin: origin}).Counter("failure_reports_total")
 	})
+	m.advice = newTagged(func(kind string) tally.Counter {
+		return scope.Tagged(map[string]string{tagKind: kind}).Counter("target_advice_total")
+	})
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
 		return scope.Tagged(map[string]string{tagRoute: route}).Histogram("request_seconds", latencyBuckets)
@@ -97,6 +101,9 @@
 // origin of the report.
 func (m *Metrics) FailureReports(origin string, n int) { m.reports.get(origin).Inc(int64(n)) }
 
+// TargetAdvice counts a change in what a target says about the requests that it wants.
+func (m *Metrics) TargetAdvice(kind string) { m.advice.get(kind).Inc(1) }
+
 // Gauge sets a gauge of the instance. The first 1024 names are kept apart; further
 // names share one gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.gauges.get(name).Update(value) }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -94,6 +94,18 @@
 	return changed
 }
 
+// Advised records what a target says in a response, to a probe if probe is set. It reports
+// whether that differs from what it said before.
+func (p *Placer) Advised(id catalog.Incarnation, a Advice, probe bool) (changed bool) {
+	t := p.targets[id]
+	if t == nil {
+		return false
+	}
+	changed = a.Leaving != t.advice.Leaving || a.Limited != t.advice.Limited || a.RetryAfter > 0
+	t.advice = a
+	return changed
+}
+
 // Sent records that a request is sent to a target.
 func (p *Placer) Sent(now time.Duration, id catalog.Incarnation) {
 	if t := p.targets[id]; t != nil {
--- a/placement/target.go
+++ b/placement/target.go
@@ -46,6 +46,8 @@
 	// illUntil is until when the answer to a probe counts that called the target ill,
 	// and provenUntil until when a completed request counts more than that.
 	illUntil, provenUntil time.Duration
+	// advice is what the target last said about the requests that it wants.
+	advice Advice
 }
 
 // sentSince returns the number of requests in flight that were sent after a time.
