--- /dev/null
+++ b/gateway/advice_test.go
@@ -0,0 +1,34 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// saying returns a function that answers a request with a signed success and a header line.
+func saying(header string) func(*target, net.Conn, *http.Request, []byte) bool {
+	return func(s *target, conn net.Conn, r *http.Request, _ []byte) bool {
+		s.ran.Add(1)
+		s.respond(conn, 200, r, "Signature: "+s.id+"\r\n"+header, "from "+s.id)
+		return true
+	}
+}
+
+// Guards against requests beyond the limit that a target names in its responses.
+func TestLimitOfATargetIsKept(t *testing.T) {
+	is := is.New(t)
+	const perSecond = 2.0
+	f := start(t, startTarget(t, "a", saying("Limit: 2")), startTarget(t, "b", run))
+	begin := time.Now()
+	for time.Since(begin) < time.Second {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+	allowed := 1.5*perSecond*time.Since(begin).Seconds() + 5
+	t.Logf("%d of %d requests, allowed %.1f", f.targets[0].ran.Load(), f.total(), allowed)
+	is.True(float64(f.targets[0].ran.Load()) <= allowed)
+	is.True(f.targets[0].ran.Load() > 1) // the limit is used
+}
