Keep the limit of requests a second that a target names, fleet-wide

Targets in need, which named a limit of 1.3 to 2.2 requests a second, got as many requests as before: 19 to 23 in 4 s where 13 to 18 are allowed.

Cause: the limit was not read (hypothesis 1). The class: a target's word on what it wants is passed on to the caller and not used.

Change: a limit is divided among a few owners, which all instances agree on by a hash over the members, first those of the target's failure domain. Each has a token bucket of one request. 3 + 2 L owners of a limit L exceed it by at most as many requests in any time. Members that fell silent keep their shares for a minute, so the parts of a partition do not take the whole limit each; one that starts has none before it knows others. All sends take a token (hypothesis 3). A target without a token is probed once a second to notice the end. A request that no target wants in time is refused at once.

Ruled out: buckets at all instances (20 of them exceed a limit of 1.3 by themselves); a limit in each instance's memory alone; sharing the limit by the peers' exchanges (instances learn it with their first probe or response).

--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "net/netip"
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Snapshot is the membership of the fleet as this instance sees it. It is immutable.
 type Snapshot struct {
@@ -13,6 +18,33 @@
 	// Isolated is true while this instance has no contact with any of the others that may
 	// be running, so that it does not learn what they find.
 	Isolated bool
+	// members are the instances that Size counts, without this one, self.
+	members []Instance
+	self    Instance
+	// noShare is true while this instance stops, or has just started and may not know the
+	// others yet.
+	noShare bool
+}
+
+// Share reports whether this instance is among the n instances that share a key, and how
+// many there are if the fleet is smaller. Instances that see the same members agree. Those
+// of the given failure domain come first. One that stops has no share, nor has one that has
+// just started before it knows others.
+func (s *Snapshot) Share(key uint64, domain, n int) (mine bool, of int) {
+	own, rank := shareOrder(key, s.self), 0
+	for _, m := range s.members {
+		order := shareOrder(key, m)
+		if before := (m.Domain == domain) != (s.self.Domain == domain); before && m.Domain == domain || !before && order < own {
+			rank++
+		}
+	}
+	return !s.noShare && rank < n, min(n, len(s.members)+1)
+}
+
+// shareOrder returns the sort key of an instance among those that may share a key.
+func shareOrder(key uint64, i Instance) uint64 {
+	ip := i.IP.As4()
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(ip[:], key))
 }
 
 // Instance is one live instance. Domain is the index of its failure domain.
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -75,7 +75,7 @@
 		clients: newClients(o.Port, o.Identity), exchanging: make(map[netip.Addr]bool), queued: make(map[netip.Addr]*broadcast)}
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
 	t.view.Store(t.builder.Build(0, records.Position{}))
-	t.snapshot.Store(&Snapshot{Size: 1})
+	t.snapshot.Store(&Snapshot{Size: 1, self: Instance{IP: o.IP, Domain: o.Domain}, noShare: true})
 	return t
 }
 
@@ -283,13 +283,16 @@
 }
 
 func (t *Task) publishSnapshot(now time.Duration) {
-	s := &Snapshot{Size: 1}
+	self := Instance{IP: t.roster.self.IP, Domain: t.roster.self.Domain}
+	starting := len(t.roster.peers) == 0 && now-t.started < isolatedAfter
+	s := &Snapshot{Size: 1, self: self, noShare: starting || t.roster.self.State.Has(Leaving)}
 	if t.roster.self.State.Has(Ready) {
-		s.Live = append(s.Live, Instance{IP: t.roster.self.IP, Domain: t.roster.self.Domain})
+		s.Live = append(s.Live, self)
 	}
 	for _, p := range t.roster.peers {
 		if now-p.lastSeen < sizeRetention && !p.State.Has(Leaving) {
 			s.Size++
+			s.members = append(s.members, Instance{IP: p.IP, Domain: p.Domain})
 		}
 		if p.State.Has(Ready) && !p.State.Has(Leaving) && t.roster.live(now, p) {
 			s.Live = append(s.Live, Instance{IP: p.IP, Domain: p.Domain})
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -35,6 +35,10 @@
 	// Isolated reports whether this instance has no contact with others that may be alive,
 	// so that it gets no failure reports from them. Nil: never.
 	Isolated func() bool
+	// Share reports whether this instance is among the n instances of the fleet that share
+	// a key, and how many there are if the fleet is smaller. All instances agree on them;
+	// those of the failure domain come first. Nil: this instance alone has all keys.
+	Share func(key uint64, failureDomain string, n int) (mine bool, of int)
 	// RetryBudget limits retries and hedged requests.
 	RetryBudget RetryBudget
 	// ProbesPerTarget limits the probes per second that a target gets from all
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -42,7 +42,11 @@
 }
 
 func newScheduler(o Options) *scheduler {
-	return &scheduler{loop: owner.New(o.Now), placer: placement.New(o.FailureDomain, o.Random),
+	placer := placement.New(o.FailureDomain, o.Random)
+	if o.Share != nil {
+		placer.SetShares(func(t *catalog.Target, n int) (bool, int) { return o.Share(incarnationHash(t), t.FailureDomain, n) })
+	}
+	return &scheduler{loop: owner.New(o.Now), placer: placer,
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
 		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
@@ -127,7 +131,7 @@
 			s.log.Info("target probe status changed", "target", id.ID, "answers", answer.result != placement.ProbeSilent)
 		}
 		if answer.result != placement.ProbeSilent {
-			s.advised(id, answer.advice, true)
+			s.advised(now, id, answer.advice, true)
 		}
 		if answer.report.Target != nil {
 			s.placer.Reported(answer.report)
@@ -137,13 +141,13 @@
 
 // recordAdvice records what a target says in the response to a request.
 func (s *scheduler) recordAdvice(id catalog.Incarnation, a placement.Advice) {
-	s.loop.Post(func(time.Duration) { s.advised(id, a, false) })
+	s.loop.Post(func(now time.Duration) { s.advised(now, id, a, false) })
 }
 
 // advised records what a target says about the requests that it wants, in the response to
 // a probe if probe is set. It runs in the loop's goroutine.
-func (s *scheduler) advised(id catalog.Incarnation, a placement.Advice, probe bool) {
-	if !s.placer.Advised(id, a, probe) {
+func (s *scheduler) advised(now time.Duration, id catalog.Incarnation, a placement.Advice, probe bool) {
+	if !s.placer.Advised(now, id, a, probe) {
 		return
 	}
 	s.log.Info("target advice changed", "target", id.ID, "leaving", a.Leaving, "limited", a.Limited, "per_second", a.PerSecond,
@@ -182,6 +186,8 @@
 	placement.Choice
 	sentAt time.Duration
 	ok     bool // false: no target was chosen
+	// heldBackFor is the time for which no target wants the request, if none was chosen.
+	heldBackFor time.Duration
 }
 
 // purpose is the reason for selecting a target.
@@ -227,7 +233,10 @@
 			requirement = placement.RequireIdle
 		}
 		choice, ok := s.placer.Choose(now, r, reports, requirement)
-		if !ok || !s.takeRetryBudget(now, r, p) {
+		if !ok {
+			return reservation{heldBackFor: s.placer.HeldBackFor(now, r.Service)}
+		}
+		if !s.takeRetryBudget(now, r, p) {
 			return reservation{}
 		}
 		s.placer.Sent(now, choice.Target.Incarnation())
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -66,7 +66,7 @@
 			return selection{reservation: reserved}
 		}
 		noRoom := selection{refusal: newRefusal(outcomeNoRoom, retryAfter), reports: reports}
-		if p != firstSend || g.options.Now()+pause-r.Arrived > maxWait {
+		if p != firstSend || max(pause, reserved.heldBackFor) > r.Arrived+maxWait-g.options.Now() {
 			return noRoom
 		}
 		if !waiting {
--- a/node/node.go
+++ b/node/node.go
@@ -52,7 +52,10 @@
 	}
 	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
 		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
-		Isolated:    func() bool { return n.fleet.Snapshot().Isolated },
+		Isolated: func() bool { return n.fleet.Snapshot().Isolated },
+		Share: func(key uint64, domain string, count int) (bool, int) {
+			return n.fleet.Snapshot().Share(key, slices.Index(o.Settings.FailureDomains, domain), count)
+		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		BodyBytes:       int64(bodyMemoryShare * float64(o.Settings.MemoryBytes)),
 		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,6 +27,7 @@
 	loads     map[string]*serviceLoad    // by service, observed
 	queues    map[string]*waitQueue      // by service
 	probes    probeBudget
+	share     ShareFunc
 }
 
 // New returns a placer without targets for an instance in the failure domain.
@@ -33,9 +35,13 @@
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
-		queues: make(map[string]*waitQueue)}
+		queues: make(map[string]*waitQueue), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
 }
 
+// SetShares sets the function that divides limited targets among the instances. Before
+// the call this instance takes the whole limit.
+func (p *Placer) SetShares(share ShareFunc) { p.share = share }
+
 // SetTargets replaces the targets that accept new requests, by service. The state
 // of incarnations that are in both the old and the new list is kept.
 func (p *Placer) SetTargets(now time.Duration, services map[string][]*catalog.Target) {
@@ -96,20 +102,40 @@
 
 // Advised records what a target says in a response, to a probe if probe is set. It reports
 // whether that differs from what it said before.
-func (p *Placer) Advised(id catalog.Incarnation, a Advice, probe bool) (changed bool) {
+func (p *Placer) Advised(now time.Duration, id catalog.Incarnation, a Advice, probe bool) (changed bool) {
 	t := p.targets[id]
 	if t == nil {
 		return false
 	}
 	changed = a.Leaving != t.advice.Leaving || a.Limited != t.advice.Limited || a.RetryAfter > 0
 	t.advice = a
+	t.limit.advised(now, a, probe, p.random)
 	return changed
 }
 
+// available reports whether a target wants a request of this instance now.
+func (p *Placer) available(now time.Duration, t *target) bool {
+	return t.limit.available(now, t.Target, p.share)
+}
+
+// HeldBackFor returns the time for which no target of the service wants a request of this
+// instance, 0 if there is one that does. It is the largest Duration if that is not known.
+func (p *Placer) HeldBackFor(now time.Duration, service string) time.Duration {
+	wait := time.Duration(math.MaxInt64)
+	for _, t := range p.services[service] {
+		if p.available(now, t) {
+			return 0
+		}
+		wait = min(wait, t.limit.wait())
+	}
+	return wait
+}
+
 // Sent records that a request is sent to a target.
 func (p *Placer) Sent(now time.Duration, id catalog.Incarnation) {
 	if t := p.targets[id]; t != nil {
 		t.sendTimes = append(t.sendTimes, now)
+		t.limit.take()
 		p.queue(t.Service).started(now)
 	}
 }
--- /dev/null
+++ b/placement/ratelimit.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+)
+
+// A target may name the requests a second that it takes from all instances together.
+// The limit is divided among a few instances, its owners; the others send nothing.
+// Each owner has a token bucket of one request, so in a time t the target gets at most
+// limit*t requests and one for each owner. Were all instances owners, the buckets alone
+// would exceed a low limit.
+const (
+	// baseOwners and ownersPerRate determine the number of owners of a limit: baseOwners,
+	// and ownersPerRate for each request a second. Together they exceed the limit by
+	// baseOwners requests and ownersPerRate seconds' worth at most.
+	baseOwners    = 3
+	ownersPerRate = 2.0
+	// shareInterval is the time between two looks at who the owners are.
+	shareInterval = 250 * time.Millisecond
+	// limitRecheck is the time after which a target that this instance may not use now is
+	// probed again, since its limit may have ended.
+	limitRecheck = time.Second
+	// minLimitRetention and maxLimitRetention bound the time without a response after which
+	// a limit is forgotten, if the target does not name it in responses to probes. The time
+	// is random, so that the instances do not try the target all at once.
+	minLimitRetention = 30 * time.Second
+	maxLimitRetention = 90 * time.Second
+)
+
+// ShareFunc reports whether this instance is among the n instances that share a limited
+// target, and how many there are if the fleet is smaller. All instances agree on them.
+type ShareFunc func(t *catalog.Target, n int) (mine bool, of int)
+
+// rateLimit is this instance's share of the requests a second that a target takes. The
+// zero value is no limit.
+type rateLimit struct {
+	active    bool
+	perSecond float64 // of all instances
+	// inProbes is true once the target has named the limit in a response to a probe.
+	inProbes bool
+	// checkedAt is when a response last told whether there is a limit; it ends the limit
+	// that is not named again before forgetAt.
+	checkedAt, forgetAt time.Duration
+
+	mine       bool
+	owners     int
+	sharedAt   time.Duration // when mine and owners were determined
+	tokens     float64
+	refilledAt time.Duration
+}
+
+// advised updates the limit with a response of the target, to a probe if probe is set.
+func (l *rateLimit) advised(now time.Duration, a Advice, probe bool, random *rand.Rand) {
+	if !a.Limited {
+		if !probe || l.inProbes {
+			l.active, l.checkedAt = false, now
+		}
+		return
+	}
+	if l.owners == 0 {
+		l.tokens = random.Float64() // the owners learn of the limit at about the same time
+	}
+	if !l.active {
+		l.refilledAt = now
+	}
+	l.active, l.perSecond, l.inProbes = true, a.PerSecond, l.inProbes || probe
+	l.checkedAt = now
+	l.forgetAt = now + minLimitRetention + time.Duration(random.Int64N(int64(maxLimitRetention-minLimitRetention)))
+}
+
+// available reports whether the limit allows a request now.
+func (l *rateLimit) available(now time.Duration, t *catalog.Target, share ShareFunc) bool {
+	if !l.active || now >= l.forgetAt {
+		return true
+	}
+	l.refill(now, t, share)
+	return l.mine && l.tokens >= 1
+}
+
+// refill adds the tokens since the last call. An instance that is no owner has none, also
+// when it becomes one.
+func (l *rateLimit) refill(now time.Duration, t *catalog.Target, share ShareFunc) {
+	if l.owners == 0 || now-l.sharedAt >= shareInterval {
+		l.mine, l.owners = share(t, baseOwners+int(min(ownersPerRate*l.perSecond, math.MaxInt32)))
+		l.sharedAt = now
+	}
+	if !l.mine {
+		l.tokens, l.refilledAt = 0, now
+		return
+	}
+	l.tokens = min(1, l.tokens+l.perSecond/float64(max(1, l.owners))*(now-l.refilledAt).Seconds())
+	l.refilledAt = now
+}
+
+// take uses the token of a request that is sent.
+func (l *rateLimit) take() {
+	if l.active {
+		l.tokens = max(0, l.tokens-1)
+	}
+}
+
+// wait returns the time until the limit allows a request. It is the largest Duration if
+// this instance is no owner. It follows a call of available that returned false.
+func (l *rateLimit) wait() time.Duration {
+	rate := l.perSecond / float64(max(1, l.owners))
+	if seconds := (1 - l.tokens) / rate; l.mine && seconds < math.MaxInt32 {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return math.MaxInt64
+}
+
+// recheckDue reports whether the target is to be probed although the limit allows no
+// request now, and counts that as done.
+func (l *rateLimit) recheckDue(now time.Duration) bool {
+	if now-l.checkedAt < limitRecheck {
+		return false
+	}
+	l.checkedAt = now
+	return true
+}
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -73,7 +73,8 @@
 // eligible returns, in random order, targets of the service that match and that
 // the request was not sent to yet. They are the first ones in this instance's own
 // order of targets, so that the subset stays stable. Suspended targets are
-// returned only when there are no others.
+// returned only when there are no others. Those that want no request now are left out,
+// unless a probe is due that tells whether they still do not.
 func (p *Placer) eligible(now time.Duration, r *Request, match func(*target) bool) []*target {
 	size := p.subsetSize(r.Service)
 	responsive := make([]*target, 0, size)
@@ -84,6 +85,7 @@
 		}
 		switch {
 		case !match(t) || slices.Contains(r.Tried, t.Incarnation()):
+		case !p.available(now, t) && !t.limit.recheckDue(now):
 		case now < t.suspendedUntil:
 			suspended = append(suspended, t)
 		default:
--- a/placement/target.go
+++ b/placement/target.go
@@ -48,6 +48,7 @@
 	illUntil, provenUntil time.Duration
 	// advice is what the target last said about the requests that it wants.
 	advice Advice
+	limit  rateLimit
 }
 
 // sentSince returns the number of requests in flight that were sent after a time.
