Send no requests to a target that says that it leaves

New rule of the users: a target that leaves says so in all responses, and gets no request later than drainS after an instance has passed such a response on. Before, only the store's entry counted, which may come later or not at all.

A target that says so is left out of the choice for as long as it does; a probe a second notices if it no longer does. A response ends an advice, a limit as well, only if its request was sent after the advice began, and a response to a probe only if the target gives its advice there, too. If all targets leave, the request is refused at once.

TestLeavingTargetGetsNoRequests failed before.

--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 )
 
 // saying returns a function that answers a request with a signed success and a header line.
@@ -32,3 +34,20 @@
 	is.True(float64(f.targets[0].ran.Load()) <= allowed)
 	is.True(f.targets[0].ran.Load() > 1) // the limit is used
 }
+
+// Guards against requests to a target that says that it leaves, although the store still
+// lists it as ready.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", saying("Leaving: 1")), startTarget(t, "b", run))
+	for f.targets[0].ran.Load() == 0 {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+	for range 100 {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+	is.Equal(f.targets[0].ran.Load(), int64(1))
+	f.targets = f.targets[:1]
+	f.configure(catalog.Limits{})
+	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 503) // also if there is no other
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -145,7 +145,7 @@
 	go func() {
 		e := r.send(r.ctx, outgoing)
 		if e.advised {
-			r.gateway.scheduler.recordAdvice(res.Target.Incarnation(), e.advice)
+			r.gateway.scheduler.recordAdvice(res, e.advice)
 		}
 		r.gateway.scheduler.recordEnd(res, r.request.Route, e.placementOutcome(res), e.load)
 		r.finished <- finishedAttempt{attempt: a, attemptEnd: e}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -131,7 +131,7 @@
 			s.log.Info("target probe status changed", "target", id.ID, "answers", answer.result != placement.ProbeSilent)
 		}
 		if answer.result != placement.ProbeSilent {
-			s.advised(now, id, answer.advice, true)
+			s.advised(now, id, answer.advice, placement.Exchange{SentAt: answer.sentAt, Probe: true})
 		}
 		if answer.report.Target != nil {
 			s.placer.Reported(answer.report)
@@ -140,18 +140,20 @@
 }
 
 // recordAdvice records what a target says in the response to a request.
-func (s *scheduler) recordAdvice(id catalog.Incarnation, a placement.Advice) {
-	s.loop.Post(func(now time.Duration) { s.advised(now, id, a, false) })
+func (s *scheduler) recordAdvice(res reservation, a placement.Advice) {
+	s.loop.Post(func(now time.Duration) {
+		s.advised(now, res.Target.Incarnation(), a, placement.Exchange{SentAt: res.sentAt})
+	})
 }
 
-// advised records what a target says about the requests that it wants, in the response to
-// a probe if probe is set. It runs in the loop's goroutine.
-func (s *scheduler) advised(now time.Duration, id catalog.Incarnation, a placement.Advice, probe bool) {
-	if !s.placer.Advised(now, id, a, probe) {
+// advised records what a target says about the requests that it wants. It runs in the
+// loop's goroutine.
+func (s *scheduler) advised(now time.Duration, id catalog.Incarnation, a placement.Advice, e placement.Exchange) {
+	if !s.placer.Advised(now, id, a, e) {
 		return
 	}
 	s.log.Info("target advice changed", "target", id.ID, "leaving", a.Leaving, "limited", a.Limited, "per_second", a.PerSecond,
-		"retry_after_ms", a.RetryAfter.Milliseconds(), "probe", probe)
+		"retry_after_ms", a.RetryAfter.Milliseconds(), "probe", e.Probe)
 	s.metrics.TargetAdvice(adviceKind(a))
 }
 
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -156,13 +156,14 @@
 	result placement.ProbeResult
 	report placement.Report // Target is nil if there is none
 	advice placement.Advice // valid unless the result is ProbeSilent
+	sentAt time.Duration
 }
 
 // sendProbe probes a target. The result is ProbeSilent if no complete response
 // arrives within probeTimeout, or if the response names another target. The end of
 // the request that needs the probe does not cancel it.
 func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) probeAnswer {
-	d := &g.options.Dialect
+	d, sentAt := &g.options.Dialect, g.options.Now()
 	response, err := g.probe(ctx, t, path, false)
 	if err != nil || !isFrom(d, response, t) {
 		return probeAnswer{}
@@ -172,7 +173,7 @@
 		load = placement.Load{Slots: t.Slots, Slowness: 1}
 	}
 	answer := probeAnswer{report: placement.Report{Target: t, Load: load, At: g.options.Now()},
-		advice: d.ParseAdvice(response.StatusCode, response.Header)}
+		advice: d.ParseAdvice(response.StatusCode, response.Header), sentAt: sentAt}
 	switch {
 	case response.StatusCode == http.StatusOK:
 		answer.result = placement.ProbeWell
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -100,22 +100,16 @@
 	return changed
 }
 
-// Advised records what a target says in a response, to a probe if probe is set. It reports
-// whether that differs from what it said before.
-func (p *Placer) Advised(now time.Duration, id catalog.Incarnation, a Advice, probe bool) (changed bool) {
+// Advised records what a target says in the response of an exchange. It reports whether
+// the target leaves or limits its requests from now on or no longer, or asks for a pause.
+func (p *Placer) Advised(now time.Duration, id catalog.Incarnation, a Advice, e Exchange) (changed bool) {
 	t := p.targets[id]
 	if t == nil {
 		return false
 	}
-	changed = a.Leaving != t.advice.Leaving || a.Limited != t.advice.Limited || a.RetryAfter > 0
-	t.advice = a
-	t.limit.advised(now, a, probe, p.random)
-	return changed
-}
-
-// available reports whether a target wants a request of this instance now.
-func (p *Placer) available(now time.Duration, t *target) bool {
-	return t.limit.available(now, t.Target, p.share)
+	leaving, limited := t.leaving.now, t.limit.named.now
+	t.advised(now, a, e, p.random)
+	return t.leaving.now != leaving || t.limit.named.now != limited || a.RetryAfter > 0
 }
 
 // HeldBackFor returns the time for which no target of the service wants a request of this
@@ -123,10 +117,10 @@
 func (p *Placer) HeldBackFor(now time.Duration, service string) time.Duration {
 	wait := time.Duration(math.MaxInt64)
 	for _, t := range p.services[service] {
-		if p.available(now, t) {
+		if t.available(now, p.share) {
 			return 0
 		}
-		wait = min(wait, t.limit.wait())
+		wait = min(wait, t.unavailableFor())
 	}
 	return wait
 }
--- a/placement/ratelimit.go
+++ b/placement/ratelimit.go
@@ -21,9 +21,6 @@
 	ownersPerRate = 2.0
 	// shareInterval is the time between two looks at who the owners are.
 	shareInterval = 250 * time.Millisecond
-	// limitRecheck is the time after which a target that this instance may not use now is
-	// probed again, since its limit may have ended.
-	limitRecheck = time.Second
 	// minLimitRetention and maxLimitRetention bound the time without a response after which
 	// a limit is forgotten, if the target does not name it in responses to probes. The time
 	// is random, so that the instances do not try the target all at once.
@@ -38,13 +35,10 @@
 // rateLimit is this instance's share of the requests a second that a target takes. The
 // zero value is no limit.
 type rateLimit struct {
-	active    bool
+	named     said
 	perSecond float64 // of all instances
-	// inProbes is true once the target has named the limit in a response to a probe.
-	inProbes bool
-	// checkedAt is when a response last told whether there is a limit; it ends the limit
-	// that is not named again before forgetAt.
-	checkedAt, forgetAt time.Duration
+	// forgetAt is when a limit ends that is not named again before.
+	forgetAt time.Duration
 
 	mine       bool
 	owners     int
@@ -53,28 +47,24 @@
 	refilledAt time.Duration
 }
 
-// advised updates the limit with a response of the target, to a probe if probe is set.
-func (l *rateLimit) advised(now time.Duration, a Advice, probe bool, random *rand.Rand) {
-	if !a.Limited {
-		if !probe || l.inProbes {
-			l.active, l.checkedAt = false, now
-		}
-		return
-	}
+// advised updates the limit with a response of the target.
+func (l *rateLimit) advised(now time.Duration, a Advice, e Exchange, random *rand.Rand) {
 	if l.owners == 0 {
 		l.tokens = random.Float64() // the owners learn of the limit at about the same time
 	}
-	if !l.active {
+	if !l.named.now {
 		l.refilledAt = now
 	}
-	l.active, l.perSecond, l.inProbes = true, a.PerSecond, l.inProbes || probe
-	l.checkedAt = now
-	l.forgetAt = now + minLimitRetention + time.Duration(random.Int64N(int64(maxLimitRetention-minLimitRetention)))
+	l.named.update(now, a.Limited, e)
+	if a.Limited {
+		l.perSecond = a.PerSecond
+		l.forgetAt = now + minLimitRetention + time.Duration(random.Int64N(int64(maxLimitRetention-minLimitRetention)))
+	}
 }
 
 // available reports whether the limit allows a request now.
 func (l *rateLimit) available(now time.Duration, t *catalog.Target, share ShareFunc) bool {
-	if !l.active || now >= l.forgetAt {
+	if !l.named.now || now >= l.forgetAt {
 		return true
 	}
 	l.refill(now, t, share)
@@ -98,7 +88,7 @@
 
 // take uses the token of a request that is sent.
 func (l *rateLimit) take() {
-	if l.active {
+	if l.named.now {
 		l.tokens = max(0, l.tokens-1)
 	}
 }
@@ -112,13 +102,3 @@
 	}
 	return math.MaxInt64
 }
-
-// recheckDue reports whether the target is to be probed although the limit allows no
-// request now, and counts that as done.
-func (l *rateLimit) recheckDue(now time.Duration) bool {
-	if now-l.checkedAt < limitRecheck {
-		return false
-	}
-	l.checkedAt = now
-	return true
-}
--- a/placement/ratelimit_test.go
+++ b/placement/ratelimit_test.go
@@ -53,7 +53,7 @@
 	for _, t := range sample {
 		probed := report(t, 0, 0, 1)
 		probed.At = now
-		p.Advised(now, t.Incarnation(), f.advice(t, true), true)
+		p.Advised(now, t.Incarnation(), f.advice(t, true), placement.Exchange{SentAt: now, Probe: true})
 		p.Reported(probed)
 		reports = append(reports, probed)
 	}
@@ -64,7 +64,7 @@
 	}
 	id := choice.Target.Incarnation()
 	p.Sent(now, id)
-	p.Advised(now, id, f.advice(choice.Target, false), false)
+	p.Advised(now, id, f.advice(choice.Target, false), placement.Exchange{SentAt: now})
 	p.Ended(now, id, now, f.route, choice, placement.Outcome{Responded: true, Latency: 100 * time.Millisecond})
 	if choice.Target == f.targets[0] {
 		if f.told[i] {
@@ -147,9 +147,9 @@
 	a, b := newTarget("a", "near"), newTarget("b", "near")
 	p := newPlacer(a, b)
 	is.Equal(p.HeldBackFor(0, service), time.Duration(0))
-	p.Advised(0, a.Incarnation(), placement.Advice{Limited: true, PerSecond: 0.5}, false)
+	p.Advised(0, a.Incarnation(), placement.Advice{Limited: true, PerSecond: 0.5}, placement.Exchange{})
 	is.Equal(p.HeldBackFor(0, service), time.Duration(0)) // b has no limit
-	p.Advised(0, b.Incarnation(), placement.Advice{Limited: true}, false)
+	p.Advised(0, b.Incarnation(), placement.Advice{Limited: true}, placement.Exchange{})
 	is.True(p.HeldBackFor(0, service) > 0)
 	is.True(p.HeldBackFor(0, service) <= 2*time.Second)
 	is.Equal(p.HeldBackFor(2*time.Second, service), time.Duration(0))
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -85,7 +85,7 @@
 		}
 		switch {
 		case !match(t) || slices.Contains(r.Tried, t.Incarnation()):
-		case !p.available(now, t) && !t.limit.recheckDue(now):
+		case !t.available(now, p.share) && !t.recheckDue(now):
 		case now < t.suspendedUntil:
 			suspended = append(suspended, t)
 		default:
--- a/placement/target.go
+++ b/placement/target.go
@@ -46,9 +46,11 @@
 	// illUntil is until when the answer to a probe counts that called the target ill,
 	// and provenUntil until when a completed request counts more than that.
 	illUntil, provenUntil time.Duration
-	// advice is what the target last said about the requests that it wants.
-	advice Advice
-	limit  rateLimit
+	// advisedAt is when the target last told which requests it wants, or was to be asked
+	// again. leaving and limit are what it told.
+	advisedAt time.Duration
+	leaving   said
+	limit     rateLimit
 }
 
 // sentSince returns the number of requests in flight that were sent after a time.
