Send nothing to a target during the pause for which it asks

New rule of the users: a target that turns a request away with 503 may name the time in which it wants nothing from that instance (Retry-After). Before, the rejected request went to another target, and the next one to the same again.

The target is left out of the choice and gets no probes until the end of the pause, at most an hour. If no target wants a request in time, it is refused at once. TestTargetThatAsksForAPauseGetsNothing failed before.

--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -51,3 +51,28 @@
 	f.configure(catalog.Limits{})
 	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 503) // also if there is no other
 }
+
+// Guards against requests and probes to a target that has turned a request away and said
+// for how long it wants none.
+func TestTargetThatAsksForAPauseGetsNothing(t *testing.T) {
+	is := is.New(t)
+	pausing := func(s *target, conn net.Conn, r *http.Request, _ []byte) bool {
+		s.ran.Add(1)
+		s.respond(conn, 503, r, "Not-Run: 1\r\nPause-Ms: 600000", "")
+		return true
+	}
+	f := start(t, startTarget(t, "a", pausing), startTarget(t, "b", run))
+	for f.targets[0].ran.Load() == 0 {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+	probes := f.targets[0].probes.Load()
+	for range 100 {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+	is.Equal(f.targets[0].ran.Load(), int64(1))
+	is.Equal(f.targets[0].probes.Load(), probes)
+	f.targets = f.targets[:1]
+	f.configure(catalog.Limits{})
+	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 503) // also if there is no other
+	is.Equal(f.targets[0].ran.Load(), int64(1))
+}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -130,7 +130,7 @@
 		if s.placer.Probed(now, id, answer.result) {
 			s.log.Info("target probe status changed", "target", id.ID, "answers", answer.result != placement.ProbeSilent)
 		}
-		if answer.result != placement.ProbeSilent {
+		if answer.advised {
 			s.advised(now, id, answer.advice, placement.Exchange{SentAt: answer.sentAt, Probe: true})
 		}
 		if answer.report.Target != nil {
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -155,8 +155,10 @@
 type probeAnswer struct {
 	result placement.ProbeResult
 	report placement.Report // Target is nil if there is none
-	advice placement.Advice // valid unless the result is ProbeSilent
-	sentAt time.Duration
+	// advice is what the target says, if advised is set.
+	advice  placement.Advice
+	advised bool
+	sentAt  time.Duration
 }
 
 // sendProbe probes a target. The result is ProbeSilent if no complete response
@@ -172,16 +174,16 @@
 	if !hasLoad { // without a load report the target counts as idle
 		load = placement.Load{Slots: t.Slots, Slowness: 1}
 	}
-	answer := probeAnswer{report: placement.Report{Target: t, Load: load, At: g.options.Now()},
-		advice: d.ParseAdvice(response.StatusCode, response.Header), sentAt: sentAt}
+	answer := probeAnswer{advice: d.ParseAdvice(response.StatusCode, response.Header), advised: true, sentAt: sentAt}
 	switch {
 	case response.StatusCode == http.StatusOK:
 		answer.result = placement.ProbeWell
 	case hasLoad && response.Header.Get(d.TargetID) != "": // a target without a load report gives no reason to doubt its answer
 		answer.result = placement.ProbeIll
 	default:
-		return probeAnswer{}
+		return answer
 	}
+	answer.report = placement.Report{Target: t, Load: load, At: g.options.Now()}
 	return answer
 }
 
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -53,6 +53,8 @@
 	// stays open.
 	serve func(t *target, conn net.Conn, r *http.Request, body []byte) bool
 	ran   atomic.Int64 // requests run
+	// probes counts the probes.
+	probes atomic.Int64
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -108,6 +110,7 @@
 			return
 		}
 		if r.URL.Path == "/health" {
+			s.probes.Add(1)
 			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), "")
 			continue
 		}
--- a/placement/advice.go
+++ b/placement/advice.go
@@ -10,6 +10,10 @@
 // probed again, since that may have changed.
 const adviceRecheck = time.Second
 
+// maxAdvisedPause bounds the pause for which a target asks, so that one that names a wrong
+// figure gets requests again.
+const maxAdvisedPause = time.Hour
+
 // Advice is what a target says in a response about the requests that it wants.
 type Advice struct {
 	// Leaving is true when the target will stop soon and wants no new requests.
@@ -58,27 +62,32 @@
 func (t *target) advised(now time.Duration, a Advice, e Exchange, random *rand.Rand) {
 	t.advisedAt = now
 	t.leaving.update(now, a.Leaving, e)
+	t.pausedUntil = max(t.pausedUntil, now+min(a.RetryAfter, maxAdvisedPause))
 	t.limit.advised(now, a, e, random)
 }
 
 // available reports whether the target wants a request of this instance now.
 func (t *target) available(now time.Duration, share ShareFunc) bool {
-	return !t.leaving.now && t.limit.available(now, t.Target, share)
+	return !t.leaving.now && now >= t.pausedUntil && t.limit.available(now, t.Target, share)
 }
 
 // unavailableFor returns the time until the target wants a request, as far as is known,
 // otherwise the largest Duration. It follows a call of available that returned false.
-func (t *target) unavailableFor() time.Duration {
-	if t.leaving.now {
+func (t *target) unavailableFor(now time.Duration) time.Duration {
+	switch {
+	case t.leaving.now:
 		return math.MaxInt64
+	case now < t.pausedUntil:
+		return t.pausedUntil - now
+	default:
+		return t.limit.wait()
 	}
-	return t.limit.wait()
 }
 
 // recheckDue reports whether the target is to be probed although it wants no request,
-// and counts that as done.
+// and counts that as done. While it asked for a pause it gets no probes either.
 func (t *target) recheckDue(now time.Duration) bool {
-	if now-t.advisedAt < adviceRecheck {
+	if now < t.pausedUntil || now-t.advisedAt < adviceRecheck {
 		return false
 	}
 	t.advisedAt = now
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -120,7 +120,7 @@
 		if t.available(now, p.share) {
 			return 0
 		}
-		wait = min(wait, t.unavailableFor())
+		wait = min(wait, t.unavailableFor(now))
 	}
 	return wait
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -47,10 +47,11 @@
 	// and provenUntil until when a completed request counts more than that.
 	illUntil, provenUntil time.Duration
 	// advisedAt is when the target last told which requests it wants, or was to be asked
-	// again. leaving and limit are what it told.
-	advisedAt time.Duration
-	leaving   said
-	limit     rateLimit
+	// again. leaving, limit and pausedUntil are what it told.
+	advisedAt   time.Duration
+	leaving     said
+	limit       rateLimit
+	pausedUntil time.Duration
 }
 
 // sentSince returns the number of requests in flight that were sent after a time.
