soak: targets that limit their requests, leave by their word or ask for a pause

Targets name a limit for some seconds, say that they leave (two in three also in the store), and turn requests away with a pause; half of the limits and of the departures do not show in responses to probes. Three checks follow the users' rules; instances that were started or got a signal meanwhile do not count.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -22,6 +22,15 @@
 	return e
 }
 
+// instances returns the instance that each request was sent to, by its identifier.
+func (e *evidence) instances() map[string]string {
+	instances := make(map[string]string, len(e.requests))
+	for _, req := range e.requests {
+		instances[req.id] = req.instance
+	}
+	return instances
+}
+
 // executions returns the arrivals of a request that a target did not reject.
 func (e *evidence) executions(id string) []*arrival {
 	return slices.DeleteFunc(slices.Clone(e.arrivalsByID[id]), func(r *arrival) bool { return r.rejected })
@@ -50,6 +59,9 @@
 	{"repeats stay within the budget", true, (*evidence).retriesOverBudget},
 	{"the deadline that is passed on is what is left", true, (*evidence).exceededDeadlines},
 	{"a request that crashes targets is held back", true, (*evidence).sendsAfterCrashes},
+	{"targets that say that they leave get no more requests", true, (*evidence).sendsToLeavingTargets},
+	{"targets that ask for a pause get one", true, (*evidence).sendsInPauses},
+	{"a target's limit is kept", true, (*evidence).sendsOverLimits},
 	{"targets that leave get no more requests", true, (*evidence).executionsAfterDrain},
 	{"a configuration is in force in time", true, (*evidence).outdatedRoutes},
 }
@@ -241,10 +253,7 @@
 // sendsAfterCrashes checks that requests that crash targets get to no more of them than
 // allowed. Sends by instances that were disturbed within recoveryTime do not count.
 func (e *evidence) sendsAfterCrashes() (violations []string) {
-	arrivals, instances := make(map[string][]*arrival), make(map[string]string)
-	for _, req := range e.requests {
-		instances[req.id] = req.instance
-	}
+	arrivals, instances := make(map[string][]*arrival), e.instances()
 	for _, r := range e.recorder.arrivals {
 		if isCrashing(r.body) && !r.rejected {
 			arrivals[r.body] = append(arrivals[r.body], r)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -20,6 +20,15 @@
 	return rec, req, r
 }
 
+// addLater adds records of another request, sent and served a time after the first one.
+func addLater(rec *recorder, req *request, r *arrival, after time.Duration) {
+	later, arrival, id := *req, *r, strconv.Itoa(len(rec.requests))
+	later.id, arrival.id, later.responseBody = id, id, responseFor(id)
+	later.sentAt += after
+	later.endedAt, arrival.arrivedAt = later.sentAt, later.sentAt
+	rec.requests, rec.arrivals = append(rec.requests, &later), append(rec.arrivals, &arrival)
+}
+
 // Guards against a soak that passes because a check detects nothing: each case
 // violates one invariant, and only that one must be reported.
 func TestEachInvariantDetectsViolation(t *testing.T) {
@@ -58,15 +67,27 @@
 		{"a request that crashes targets is held back", func(rec *recorder, req *request, r *arrival) {
 			req.body, r.body = crashPrefix, crashPrefix
 			for i := range crashesAllowed + sendsAllowed + 1 {
-				later, arrival, id := *req, *r, strconv.Itoa(i)
-				later.id, arrival.id, later.responseBody = id, id, responseFor(id)
-				later.sentAt += recoveryTime * time.Duration(i+1)
-				arrival.arrivedAt = later.sentAt
-				later.endedAt = later.sentAt
-				rec.requests, rec.arrivals = append(rec.requests, &later), append(rec.arrivals, &arrival)
+				addLater(rec, req, r, recoveryTime*time.Duration(i+1))
 			}
 			rec.disturbances = []disturbance{{instance: "another", at: r.arrivedAt}}
 		}},
+		{"targets that say that they leave get no more requests", func(rec *recorder, req *request, r *arrival) {
+			r.said.leaving, r.answeredAt = true, req.endedAt
+			addLater(rec, req, r, drainLimit+time.Second)
+		}},
+		{"targets that ask for a pause get one", func(rec *recorder, req *request, r *arrival) {
+			r.said.pause, r.answeredAt = time.Minute, req.endedAt
+			for i := range pausedArrivals + 1 {
+				addLater(rec, req, r, time.Duration(i+1)*time.Second)
+			}
+		}},
+		{"a target's limit is kept", func(rec *recorder, req *request, r *arrival) {
+			r.said.perSecond, r.answeredAt = 1, req.endedAt
+			rec.limits = []namedLimit{{target: r.target, perSecond: 1, from: req.sentAt, to: time.Minute}}
+			for i := range 12 { // 11 are allowed
+				addLater(rec, req, r, recoveryTime+time.Duration(i+1)*100*time.Millisecond)
+			}
+		}},
 		{"a configuration is in force in time", func(rec *recorder, _ *request, _ *arrival) {
 			rec.configs = append(rec.configs, storedConfig{at: 7 * time.Second, services: map[string][]string{"write": {"s1"}}})
 		}},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,7 +32,7 @@
 		f.start(i)
 	}},
 	{"settings", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyInstance(r).reload(r) }},
-	{"drain and return", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.drain(ctx, f.anyTarget(r)) }},
+	{"drain and return", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.drain(ctx, f.anyTarget(r), r) }},
 	{"configuration", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.reconfigure(r) }},
 	{"kill", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		i := f.anyInstance(r)
@@ -71,6 +71,14 @@
 		backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
 		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{} })
 	}},
+	{"target names a limit", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.nameLimit(ctx, f.anyTarget(r), r) }},
+	{"target asks for pauses", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
+		t := f.anyTarget(r)
+		b := behaviour{reject: 0.2 + 0.8*r.Float64(), pause: randomDuration(r, 4*time.Second)}
+		t.update(func(_ *catalog.Target, now *behaviour) { *now = b })
+		backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
+		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{} })
+	}},
 	{"address taken over", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.replace(ctx, f.anyTarget(r), r) }},
 }
 
@@ -119,19 +127,37 @@
 	}
 }
 
-// drain marks a target as draining, removes its entry after the drain limit, and
-// publishes the target again under a new identifier.
-func (f *fleet) drain(ctx context.Context, t *target) {
+// drain lets a target leave: it says so in its responses and, mostly, in its entry, which
+// is removed after the drain limit. Then the target is published again under a new
+// identifier.
+func (f *fleet) drain(ctx context.Context, t *target, r *rand.Rand) {
 	t.eventLock.Lock()
 	defer t.eventLock.Unlock()
-	t.update(func(entry *catalog.Target, _ *behaviour) { entry.Draining = true })
-	f.publish(t)
-	backoff.Sleep(ctx, drainLimit+maxWork*tailFactor)
+	entrySaysSo := r.IntN(3) > 0
+	t.setSaid(advice{leaving: true}, r.IntN(2) == 0)
+	if entrySaysSo {
+		t.update(func(entry *catalog.Target, _ *behaviour) { entry.Draining = true })
+		f.publish(t)
+	}
+	backoff.Sleep(ctx, 2*drainLimit+maxWork*tailFactor)
 	f.unpublish(t)
+	t.setSaid(advice{}, false)
 	t.update(func(entry *catalog.Target, _ *behaviour) { entry.Draining, entry.ID = false, successor(entry.ID) })
 	f.publish(t)
 }
 
+// nameLimit lets a target name a limit for a while, sometimes not in responses to probes.
+func (f *fleet) nameLimit(ctx context.Context, t *target, r *rand.Rand) {
+	t.eventLock.Lock()
+	defer t.eventLock.Unlock()
+	named := namedLimit{target: t.currentEntry().ID, perSecond: 0.5 + 4*r.Float64(), from: f.now()}
+	t.setSaid(advice{perSecond: named.perSecond}, r.IntN(2) == 0)
+	backoff.Sleep(ctx, recoveryTime+limitWindow+randomDuration(r, 3*time.Second))
+	named.to = f.now()
+	t.setSaid(advice{}, false)
+	f.recorder.addLimit(named)
+}
+
 // restoreStore takes the store down and brings it back with a copy of some seconds ago.
 // The operators and the targets then write their entries again, and the entries of
 // targets that have left since are removed.
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -34,6 +34,10 @@
 	rejected bool
 	// status of a complete response to a request that ran, otherwise 0.
 	status int
+	// said is the advice in the response, which was written at answeredAt; 0 without a
+	// complete response.
+	said       advice
+	answeredAt time.Duration
 }
 
 // faultWindow is the time during which an event was active.
@@ -66,6 +70,7 @@
 	faultWindows []faultWindow
 	departures   []departure
 	disturbances []disturbance
+	limits       []namedLimit
 	configs      []storedConfig
 }
 
@@ -113,6 +118,12 @@
 	rec.disturbances = append(rec.disturbances, disturbance{instance: instance, at: at})
 }
 
+func (rec *recorder) addLimit(l namedLimit) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.limits = append(rec.limits, l)
+}
+
 func (rec *recorder) addConfig(c storedConfig) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -51,6 +51,8 @@
 	hang float64
 	// slowdown is a factor on the service time; 0 means 1.
 	slowdown float64
+	// pause is the time without requests for which rejections ask; 0: none.
+	pause time.Duration
 }
 
 // target is a fake target behind a proxy. It is safe for concurrent use.
@@ -70,6 +72,10 @@
 	mu        sync.Mutex
 	entry     catalog.Target
 	behaviour behaviour
+	// said is the advice in all responses; hideFromProbes leaves it out of those to probes.
+	// Only events that hold eventLock change them.
+	said           advice
+	hideFromProbes bool
 }
 
 func newTarget(n network, number int, rec *recorder, now func() time.Duration, d gateway.Dialect, service string) (*target, error) {
@@ -112,11 +118,14 @@
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
-	entry, b := t.entry, t.behaviour
+	entry, b, said, hide := t.entry, t.behaviour, t.said, t.hideFromProbes
 	t.mu.Unlock()
 	id := r.Header.Get(t.dialect.RequestID)
 	w.Header().Set(t.dialect.RequestID, id)
 	w.Header().Set(t.dialect.Load, t.loadHeader(b))
+	if r.URL.Path != healthPath || !hide {
+		platformtest.SetAdvice(w.Header(), placement.Advice{Leaving: said.leaving, PerSecond: said.perSecond, Limited: said.perSecond > 0})
+	}
 	if r.URL.Path == healthPath {
 		w.Header().Set(t.dialect.TargetID, entry.ID)
 		return
@@ -130,6 +139,7 @@
 	if ms, err := strconv.Atoi(r.Header.Get(t.dialect.Deadline)); err == nil {
 		arrival.remaining = time.Duration(ms) * time.Millisecond
 	}
+	arrival.said = said
 	draw := rand.Float64()
 	taken := func(share float64) bool { draw -= share; return draw < 0 }
 	switch {
@@ -140,6 +150,8 @@
 		go t.crash()
 		panic(http.ErrAbortHandler)
 	case taken(b.reject):
+		arrival.said.pause = b.pause
+		platformtest.SetAdvice(w.Header(), placement.Advice{RetryAfter: b.pause})
 		t.reject(w, arrival, http.StatusServiceUnavailable)
 	case taken(b.hang):
 		t.recorder.addArrival(arrival)
@@ -150,7 +162,7 @@
 		panic(http.ErrAbortHandler)
 	case taken(b.fail):
 		t.execute(r.Context(), arrival, b)
-		t.recorder.update(func() { arrival.status = http.StatusInternalServerError })
+		t.answer(arrival, http.StatusInternalServerError)
 		w.Header().Set(t.dialect.Signature, entry.ID)
 		w.WriteHeader(http.StatusInternalServerError)
 	case taken(b.truncate):
@@ -162,19 +174,31 @@
 		panic(http.ErrAbortHandler)
 	default:
 		t.execute(r.Context(), arrival, b)
-		t.recorder.update(func() { arrival.status = http.StatusOK })
+		t.answer(arrival, http.StatusOK)
 		w.Header().Set(t.dialect.Signature, entry.ID)
 		_, _ = io.WriteString(w, responseFor(id)) // the caller records what it receives
 	}
 }
 
 func (t *target) reject(w http.ResponseWriter, arrival *arrival, status int) {
-	arrival.rejected = true
+	arrival.rejected, arrival.answeredAt = true, t.now()
 	t.recorder.addArrival(arrival)
 	w.Header().Set(t.dialect.NotRun, "1")
 	w.WriteHeader(status)
 }
 
+// answer records that the response to a request that ran is complete.
+func (t *target) answer(arrival *arrival, status int) {
+	t.recorder.update(func() { arrival.status, arrival.answeredAt = status, t.now() })
+}
+
+// setSaid changes the advice in all responses.
+func (t *target) setSaid(a advice, hideFromProbes bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.said, t.hideFromProbes = a, hideFromProbes
+}
+
 // execute records the arrival, waits for a slot and holds it for the service time,
 // or until ctx ends.
 func (t *target) execute(ctx context.Context, arrival *arrival, b behaviour) {
