--- a/fleet/config.go
+++ b/fleet/config.go
@@ -63,7 +63,7 @@
 		err = errors.New("record contains no configuration")
 	}
 	if err != nil {
-		t.options.Log.Warn("cannot decode configuration from peer, ignored", "peer", sender.String(), "version", s.GetConfigVersion(), "key", r.Key, "error", err.Error())
+		t.options.Log.Warn("cannot decode configuration from peer, ignored", "peer", sender.String(), "version", s.GetConfigVersion(), "key", r.Key, "error", logText(err))
 		t.config.refused = max(t.config.refused, s.GetConfigVersion())
 		return
 	}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -264,7 +265,7 @@
 	config, target, err := t.options.Decode(r.Key, r.Value)
 	switch {
 	case err != nil:
-		t.options.Log.Warn("cannot decode record, not used", "key", r.Key, "revision", r.Revision, "error", err.Error())
+		t.options.Log.Warn("cannot decode record, not used", "key", r.Key, "revision", r.Revision, "error", logText(err))
 		t.builder.SetTarget(r.Key, nil)
 	case config != nil:
 		t.setConfig(r, config)
@@ -275,6 +276,16 @@
 	}
 }
 
+// maxErrorBytes bounds the text of an error in the log. That of a decoder may contain the
+// value, which is up to a megabyte.
+const maxErrorBytes = 500
+
+// logText returns the text of an error for the log.
+func logText(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")
+}
+
 func (t *Task) publishView(now time.Duration) {
 	t.view.Store(t.builder.Build(now, t.set.Position()))
 	if t.options.OnView != nil && t.setFlag(Ready, t.options.OnView()) {
--- a/placement/curve.go
+++ b/placement/curve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -64,20 +65,30 @@
 }
 
 // saturation returns the number of requests, up to slots, with which a target has
-// the highest throughput. Of similar ones it returns the lowest.
+// the highest throughput. Of similar ones it returns the lowest. The throughput rises
+// within each range of the occupied share, so its time does not depend on slots.
 func (c *occupancyCurve) saturation(slots int) int {
 	highest := 0.0
-	for n := 1; n <= slots; n++ {
-		highest = max(highest, c.throughput(n, slots))
+	for i := range curveSteps {
+		if first, last := stepRange(i, slots); first <= last {
+			highest = max(highest, c.throughput(last, slots))
+		}
 	}
-	for n := 1; n < slots; n++ {
-		if c.throughput(n, slots)*throughputGain >= highest {
-			return n
+	enough := func(n int) bool { return c.throughput(n, slots)*throughputGain >= highest }
+	for i := range curveSteps {
+		if first, last := stepRange(i, slots); first <= last && enough(last) {
+			return first + sort.Search(last-first, func(n int) bool { return enough(first + n) })
 		}
 	}
 	return slots
 }
 
+// stepRange returns the numbers of requests of which curveIndex is i: from first to last,
+// or none if first is higher.
+func stepRange(i, slots int) (first, last int) {
+	return i*slots/curveSteps + 1, (i + 1) * slots / curveSteps
+}
+
 // throughput returns that of a target with n of its slots in use, in requests that
 // it completes in the time that one takes on a target that runs nothing else.
 func (c *occupancyCurve) throughput(n, slots int) float64 {
--- a/placement/curve_test.go
+++ b/placement/curve_test.go
@@ -52,3 +52,29 @@
 		is.Equal(newOccupancyCurve().saturation(slots), want) // slots
 	}
 }
+
+// Guards against a saturation point that differs from the definition, and against a search
+// whose time grows with the number of slots, which other programs choose.
+func TestSaturationPointOfAnyNumberOfSlots(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		c := newOccupancyCurve()
+		for i := range c.slowdown {
+			c.slowdown[i] = 1 + random.Float64()*random.Float64()
+		}
+		for slots := 1; slots <= 130; slots++ {
+			highest, want := 0.0, slots
+			for n := 1; n <= slots; n++ {
+				highest = max(highest, c.throughput(n, slots))
+			}
+			for n := slots - 1; n >= 1; n-- {
+				if c.throughput(n, slots)*throughputGain >= highest {
+					want = n
+				}
+			}
+			is.Equal(c.saturation(slots), want)
+		}
+		is.True(c.saturation(1<<40) >= 1)
+	}
+}
