transport: close a connection on which a refusal does not name its request

Callers were told "not run" for requests that the upstream ran, or another upstream ran the request as well.

A copy that names its request is skipped here, as any late response. One whose refusal does not was taken for the response to the next request: the request ran at both targets (test of the gateway; the transport is shared with our own program).

A connection is no longer reused after a response with a status that may mean "not run" (408, 421, 429, 503) and without the request's identifier. The platform's targets copy it to all responses. Ours should; the design says so, and the stand-in does when it sheds.

Ruled out: not to trust such a refusal on a connection in use again. Targets that never copy the identifier would then fail requests that they shed; and to fail all responses without it, which takes the failures of targets from callers.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -134,6 +134,7 @@
 		t.shed.Add(1)
 		t.setReport(w.Header())
 		w.Header().Set(wire.HeaderTargetExecution, wire.ExecutionNotRun)
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -45,3 +45,17 @@
 	echo := response.Header.Get(a.EchoHeader)
 	return echo != "" && echo != a.Header.Get(a.EchoHeader)
 }
+
+// isUnnamedRefusal reports whether a response may say that the request was not run, and
+// does not name the request. If the target wrote it once more on the same connection, it
+// could not be told from the response to the next request.
+func (a *Attempt) isUnnamedRefusal(response *http.Response) bool {
+	if a.EchoHeader != "" && response.Header.Get(a.EchoHeader) != "" {
+		return false
+	}
+	switch response.StatusCode {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/transport/body.go
+++ b/transport/body.go
@@ -18,6 +18,7 @@
 	complete        bool
 	failed          bool
 	closed          bool
+	unnamedRefusal  bool // see Attempt.isUnnamedRefusal
 }
 
 // Read reads from the response body. Errors other than io.EOF are *Error, except
@@ -81,6 +82,8 @@
 		return CloseRequested, false
 	case b.conn.in.Buffered() > 0 || b.conn.sawLateResponse:
 		return CloseUnexpectedData, false
+	case b.unnamedRefusal:
+		return CloseUnnamedRefusal, false
 	default:
 		return 0, true
 	}
--- a/transport/client.go
+++ b/transport/client.go
@@ -110,7 +110,7 @@
 	}
 	source := response.Body
 	response.Body = &body{client: c, target: a.Target, conn: conn, response: response, underlying: source,
-		stopCancelWatch: stop, complete: source == http.NoBody}
+		stopCancelWatch: stop, complete: source == http.NoBody, unnamedRefusal: a.isUnnamedRefusal(response)}
 	return response, nil
 }
 
--- a/transport/counters.go
+++ b/transport/counters.go
@@ -15,12 +15,13 @@
 	CloseFailed                            // a read or write failed
 	CloseOverLimit                         // the connection limit was lowered
 	CloseShutdown                          // the client was closed
+	CloseUnnamedRefusal                    // a refusal did not name its request, and could be repeated
 	closeReasonCount
 )
 
 // String returns the value of the reason in metrics.
 func (r CloseReason) String() string {
-	return [...]string{"idle", "stale", "unfinished", "surplus", "asked", "failed", "over-limit", "shutdown"}[r]
+	return [...]string{"idle", "stale", "unfinished", "surplus", "asked", "failed", "over-limit", "shutdown", "unnamed-refusal"}[r]
 }
 
 // Counters counts connection events since the client was created.
--- a/transport/reuse_test.go
+++ b/transport/reuse_test.go
@@ -66,3 +66,42 @@
 	is.Equal(get("b"), "second")
 	is.Equal(client.Counters().Closed[transport.CloseUnexpectedData], int64(1)) // the connection is not reused
 }
+
+// Guards against a second copy of a refusal that is taken for the response to the next
+// request, since it does not name the request to which it belongs.
+func TestConnectionWithUnnamedRefusalIsNotReused(t *testing.T) {
+	for name, c := range map[string]struct {
+		header string
+		opened int64
+	}{"unnamed": {"", 2}, "named": {"X-Id: a\r\n", 1}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serveRaw(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+				refusal := ""
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if r.URL.Path == "/refuse" {
+						refusal = "HTTP/1.1 503 X\r\n" + c.header + "Content-Length: 0\r\n\r\n"
+						_, _ = io.WriteString(conn, refusal)
+						continue
+					}
+					_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", refusal, r.Header.Get("X-Id"))
+				}
+			})
+			client := newClient(t, transport.Options{})
+			get := func(path, id string) int {
+				response, err := client.Do(testContext(t), &transport.Attempt{Target: "t", Address: address, Method: http.MethodGet,
+					URI: path, Header: http.Header{"X-Id": {id}}, EchoHeader: "X-Id"})
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+				return response.StatusCode
+			}
+			is.Equal(get("/refuse", "a"), 503)
+			is.Equal(get("/run", "b"), 200)
+			is.Equal(client.Counters().Opened, c.opened)
+		})
+	}
+}
