Tests of responses that break off after each byte

Report of another operator: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

--- a/entry/latecopy_test.go
+++ b/entry/latecopy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,8 +38,23 @@
 // in use again and is taken for the response to the next request.
 func TestLateCopyOfAnAnswerIsNotTheNextAnswer(t *testing.T) {
 	is := is.New(t)
+	f := startWithTarget(t, serveLateCopies)
+	for n := range 20 {
+		path := fmt.Sprint("/echo/", n)
+		got := f.mustDo(t, http.MethodGet, path, nil)
+		is.Equal(got.StatusCode, http.StatusOK)
+		is.Equal(got.text, path)
+	}
+}
+
+// startWithTarget starts an instance in front of one target whose connections serve
+// handles.
+func startWithTarget(t *testing.T, serve func(net.Conn)) *fixture {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -46,19 +62,33 @@
 			if err != nil {
 				return // the test has ended
 			}
-			go serveLateCopies(conn)
+			go serve(conn)
 		}
 	}()
-	f := start(t, standin.TargetOptions{Slots: 4}, func(o *entry.Options) {
+	return start(t, standin.TargetOptions{Slots: 4}, func(o *entry.Options) {
 		view := o.View()
 		pool := view.Document.Pools[0]
 		pool.Targets[0].Address = listener.Addr().String()
 		view.Pools[pool.Name] = runPool(t, pool, o.Transport, o.Now)
 	})
-	for n := range 20 {
-		path := fmt.Sprint("/echo/", n)
-		got := f.mustDo(t, http.MethodGet, path, nil)
-		is.Equal(got.StatusCode, http.StatusOK)
-		is.Equal(got.text, path)
+}
+
+// Guards against a response whose target stopped in the middle of the head and that
+// reaches the caller as a whole success.
+func TestCutHeadIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nX-Own: abc\r\nContent-Length: 2\r\n\r\n"
+	var cut, arrived atomic.Int64
+	f := startWithTarget(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			arrived.Add(1)
+			_, _ = fmt.Fprint(conn, head[:cut.Load()])
+		}
+	})
+	for ; cut.Load() <= int64(len(head)); cut.Add(1) {
+		got, err := f.do(t.Context(), http.MethodGet, "/echo/x", nil)
+		is.True(err != nil || got.err != nil || got.refused != nil)
 	}
+	is.True(arrived.Load() >= int64(len(head))) // none was refused before it was sent
 }
