fleet: broadcast a failure report that blocks its request at once

A caller whose idempotent request crashed its targets gets 502 and sends it to another instance within some milliseconds, but the reports took up to a second to get there, so the request crashed two more targets. That is the difference between two and four for each loss of all instances.

The report from which on a request is blocked goes to all instances through the dissemination tree, without the delay that collects changes. Others spread as before: a crash causes one for each request in progress.

--- a/fleet/failure_reports_fleet_test.go
+++ b/fleet/failure_reports_fleet_test.go
@@ -19,9 +19,9 @@
 	c.startAll(6)
 	c.await("the configuration", version(1))
 	reporter := c.running[address(0, 2)]
-	reporter.ReportFailure(quarantine.FailureReport{Target: 1})
+	reporter.ReportFailure(quarantine.FailureReport{Target: 1}, false)
 	c.await("the first failure report", func(i *instance) bool { return i == reporter || i.failureReports.Load() > 0 })
-	reporter.ReportFailure(quarantine.FailureReport{Target: 2})
+	reporter.ReportFailure(quarantine.FailureReport{Target: 2}, true)
 	c.await("the second failure report", func(i *instance) bool { return i == reporter || i.failureReports.Load() > 1 })
 	for _, i := range c.running {
 		is.True(i == reporter || i.failureReports.Load() == 2)
@@ -44,7 +44,7 @@
 	away, reporter := c.running[address(0, 6)], c.running[address(0, 2)]
 	c.links.cutOff(address(0, 6))
 	for target := range uint64(3) {
-		reporter.ReportFailure(quarantine.FailureReport{Target: target})
+		reporter.ReportFailure(quarantine.FailureReport{Target: target}, false)
 	}
 	knows := func(i *instance) bool { return i == reporter || i.failureReports.Load() == 3 }
 	c.await("the failure reports", func(i *instance) bool { return i == away || knows(i) })
@@ -66,7 +66,7 @@
 	reporter := c.running[address(1, 2)]
 	c.links.cutOff(address(1, 2))
 	for target := range uint64(3) {
-		reporter.ReportFailure(quarantine.FailureReport{Target: target})
+		reporter.ReportFailure(quarantine.FailureReport{Target: target}, false)
 	}
 	time.Sleep(transmissionTime)
 	c.links.heal()
@@ -81,7 +81,7 @@
 	c.startAll(2)
 	c.await("4 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 4 })
 	reporter := c.running[address(0, 2)]
-	reporter.ReportFailure(quarantine.FailureReport{Target: 1})
+	reporter.ReportFailure(quarantine.FailureReport{Target: 1}, false)
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	reporter.FlushReports(ctx)
--- a/fleet/report_test.go
+++ b/fleet/report_test.go
@@ -28,7 +28,7 @@
 		Now: func() time.Duration { return time.Since(begin) }})
 	const moreThanTheQueueHolds = 1000
 	for n := range moreThanTheQueueHolds {
-		task.ReportFailure(quarantine.FailureReport{Request: poison.Fingerprint{byte(n), byte(n >> 8)}})
+		task.ReportFailure(quarantine.FailureReport{Request: poison.Fingerprint{byte(n), byte(n >> 8)}}, false)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/fleet/reportsync.go
+++ b/fleet/reportsync.go
@@ -23,13 +23,19 @@
 	notBefore time.Duration
 }
 
-// ReportFailure sends a failure report to all other instances. It never blocks: its
-// callers own state that this task waits for in OnView and OnFailureReports.
-func (t *Task) ReportFailure(r quarantine.FailureReport) {
+// ReportFailure sends a failure report to all other instances. Those get an urgent one by
+// a broadcast at once, within milliseconds, and others within a second or two. It never
+// blocks: its callers own state that this task waits for in OnView and OnFailureReports.
+func (t *Task) ReportFailure(r quarantine.FailureReport, urgent bool) {
 	t.queuedReports.Add(1)
 	go t.loop.Post(func(now time.Duration) {
 		t.failureReports.add(now, rand.Uint64(), r, netip.Addr{})
 		t.queuedReports.Add(-1)
+		if urgent {
+			t.broadcastScope = scopeFleet
+			t.broadcastNow(now)
+			return
+		}
 		t.scheduleBroadcast(scopeFew) // regular exchanges leave the failure domain only every two seconds
 	})
 }
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -154,7 +154,7 @@
 			"id", id, "fingerprint", report.Request.String(), "target", target,
 			"targets", count, "blocked_ms", s.blockedFor(now, report.Request).Milliseconds())
 		s.metrics.FailureReports(originSelf, 1)
-		s.onFailureReport(report)
+		s.onFailureReport(report, count >= quarantine.CrashLimit)
 		s.queuedReports.Add(-1)
 	})
 }
@@ -172,7 +172,7 @@
 			s.reports.Add(report)
 			s.log.Info("target completed a request with failure reports; earlier reports are void",
 				"fingerprint", report.Request.String(), "targets", failed)
-			s.onFailureReport(report)
+			s.onFailureReport(report, false)
 		}
 	})
 }
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -51,9 +51,10 @@
 		targets = append(targets, startTarget(t, "t"+strconv.Itoa(i), crash))
 	}
 	f := start(t, targets...)
-	for range 2 {
+	for n := range 2 {
 		is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 502)
 		f.awaitFailureReport(t)
+		is.Equal(f.urgent.Load(), n == 1) // others must know of the block at once
 	}
 	got := f.send(t, "POST", "/unsafe/x", "crash")
 	is.Equal(got.status, 503)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -56,9 +56,10 @@
 	Log        *slog.Logger
 	Metrics    Metrics
 	Random     *rand.Rand
-	// OnFailureReport is called with failure reports to send to other instances. It
-	// must not block.
-	OnFailureReport func(quarantine.FailureReport)
+	// OnFailureReport is called with failure reports to send to other instances; urgent is
+	// true if the request is blocked from this report on, as its caller may send it to
+	// another instance at once. It must not block.
+	OnFailureReport func(report quarantine.FailureReport, urgent bool)
 	// Now returns the time since the start of the process.
 	Now func() time.Duration
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -37,7 +37,7 @@
 	reports         *quarantine.Tracker
 	suspectCount    atomic.Int64
 	queuedReports   atomic.Int64
-	onFailureReport func(quarantine.FailureReport)
+	onFailureReport func(quarantine.FailureReport, bool)
 	metrics         Metrics
 }
 
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -163,6 +163,7 @@
 	isolated atomic.Bool
 	// failureReports receives the reports for other instances.
 	failureReports chan quarantine.FailureReport
+	urgent         atomic.Bool // whether the last one was urgent
 }
 
 func routes() []catalog.Route {
@@ -198,7 +199,7 @@
 		// Long, so that no report is ignored on a busy machine.
 		LocalReportWait: testTimeout, RemoteReportWait: testTimeout, Log: slog.New(slog.DiscardHandler),
 		Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
-		OnFailureReport: func(s quarantine.FailureReport) { f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) }})
+		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.gateway.Run(ctx); close(ended) }()
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -33,7 +33,10 @@
 		c := f.newCaller(f.options.Callers + f.options.Instances) // after those of converge
 		route := routes[c.random.IntN(len(routes))]
 		for ctx.Err() == nil {
-			c.sendCrashingRequest(ctx, route.name, route.idempotent)
+			status := c.sendCrashingRequest(ctx, route.name, route.idempotent)
+			if route.idempotent && status != http.StatusServiceUnavailable { // as callers do, to another instance
+				c.sendCrashingRequest(ctx, route.name, route.idempotent)
+			}
 			backoff.Sleep(ctx, randomBelow(c.random, crashingPause))
 		}
 	})
@@ -41,15 +44,16 @@
 }
 
 // sendCrashingRequest sends the request that crashes targets over a new connection. The
-// path and the body are always the same, only the identifier differs.
-func (c *caller) sendCrashingRequest(ctx context.Context, route string, idempotent bool) {
+// path and the body are always the same, only the identifier differs. It returns the
+// status of the response, or 0 without one.
+func (c *caller) sendCrashingRequest(ctx context.Context, route string, idempotent bool) int {
 	defer c.closeConnection()
 	if !c.dial(ctx, c.fleet.anyInstance(c.random)) {
-		return // the instance is down
+		return 0 // the instance is down
 	}
 	req := c.newRequest(route, idempotent)
 	req.method, req.path, req.body = http.MethodPost, "/"+route+"/crashing", crashPrefix+strconv.Itoa(c.number)
-	c.send(req)
+	return c.send(req)
 }
 
 // crash ends a target: its connections are reset, and after a while another
