--- a/fleet/task.go
+++ b/fleet/task.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -276,16 +275,6 @@
 	}
 }
 
-// maxErrorBytes bounds the text of an error in the log. That of a decoder may contain the
-// value, which is up to a megabyte.
-const maxErrorBytes = 500
-
-// logText returns the text of an error for the log.
-func logText(err error) string {
-	text := err.Error()
-	return strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")
-}
-
 func (t *Task) publishView(now time.Duration) {
 	t.view.Store(t.builder.Build(now, t.set.Position()))
 	if t.options.OnView != nil && t.setFlag(Ready, t.options.OnView()) {
