--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -157,7 +157,7 @@
 	s.metrics.TargetAdvice(adviceKind(a))
 }
 
-// adviceKind returns the kind of an advice as written to metrics.
+// adviceKind returns the kind of advice as written to metrics.
 func adviceKind(a placement.Advice) string {
 	switch {
 	case a.Leaving:
--- a/placement/advice.go
+++ b/placement/advice.go
@@ -27,7 +27,7 @@
 	RetryAfter time.Duration
 }
 
-// Exchange is the exchange whose response contains an advice.
+// Exchange is the exchange whose response contains the advice.
 type Exchange struct {
 	SentAt time.Duration
 	// Probe is true for a probe. Some targets give advice in responses to other requests
--- a/placement/advice_test.go
+++ b/placement/advice_test.go
@@ -9,8 +9,8 @@
 	"github.com/dogwoodroute/dogwoodroute/placement"
 )
 
-// Guards against an advice that ends because of a response from before it, or of a probe
-// whose responses never contain it, and against one that does not end.
+// Guards against advice that ends because of a response from before it, or of a probe
+// whose responses never contain it, and against advice that does not end.
 func TestAdviceEndsWithALaterResponse(t *testing.T) {
 	leaving, limited := placement.Advice{Leaving: true}, placement.Advice{Limited: true}
 	probe := func(sent time.Duration) placement.Exchange { return placement.Exchange{SentAt: sent, Probe: true} }
