--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 go build -ldflags=-linkmode=external -o target/ ./cmd/dogwoodroute-edge
-(cd review && go build -o ../target/review-standin ./standin)
+(cd review && go build -o ../target/review-standin .)
--- a/review/standin/instance.go
+++ b/review/instance.go
@@ -193,7 +193,7 @@
 func newMachines(dir string, n int, zones []string, storeAddress string) []*machine {
 	var ips []string
 	for i := range n {
-		ips = append(ips, fmt.Sprintf("127.40.%d.%d", i%len(zones)+1, 10+i))
+		ips = append(ips, fmt.Sprintf("127.%d.%d.%d", subnet(), i%len(zones)+1, 10+i))
 	}
 	p := freePorts(ips, 5)
 	shared := &ports{p[0], p[1], p[2], p[3], p[4]}
@@ -240,3 +240,7 @@
 		f()
 	}
 }
+
+// subnet returns the second byte of all addresses of this run, so that runs beside each
+// other do not take each other's ports.
+func subnet() int { return 40 + os.Getpid()%180 }
--- a/review/standin/setting.go
+++ b/review/setting.go
@@ -51,7 +51,7 @@
 var zones = []string{"oviedo", "santander", "pamplona"}
 
 func newScene(c *setup, machines int) *scene {
-	storeIP := "127.40.200.7"
+	storeIP := fmt.Sprintf("127.%d.200.7", subnet())
 	s := &scene{setup: c, silent: map[string]bool{}, quit: make(chan struct{})}
 	s.store = newStore(net.JoinHostPort(storeIP, strconv.Itoa(freePorts([]string{storeIP}, 1)[0])))
 	s.limits = map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}
@@ -87,7 +87,7 @@
 func (s *scene) addUpstreams(service string, n, slots int, work func() time.Duration) {
 	for range n {
 		k := len(s.upstreams)
-		ip := fmt.Sprintf("127.40.100.%d", 10+k)
+		ip := fmt.Sprintf("127.%d.100.%d", subnet(), 10+k)
 		address := net.JoinHostPort(ip, strconv.Itoa(freePorts([]string{ip}, 1)[0]))
 		s.upstreams = append(s.upstreams, newUpstream(fmt.Sprintf("i-%04x%04x", 0x7f3a+k*977, k), service, zones[k%len(zones)], address, slots, work, s.rec))
 	}
