review: case 5, a storm of versions leaves all machines on an older one for 19 s

Cause (nothing fixed): platform/store.go cuts every answer after 4 MB, also one to a watch, for which PROTOCOL names no bound. The call fails, fleet/reader.go repeats it from the same revision, and the answer only grows until the history is gone (20 s).

The store's stand-in now keeps history for historyS in this case; the other cases keep all, as before.

--- a/review/platform.go
+++ b/review/platform.go
@@ -29,6 +29,13 @@
 	revision uint64
 	changed  chan struct{}
 	address  string
+	// keep is how long history is kept; 0: for ever. at holds when each of history was written.
+	keep    time.Duration
+	at      []time.Time
+	dropped uint64 // revision of the last change that is no longer in history
+	// onWatch gets the number of events and of bytes of each answer to a watch, -1 events
+	// for a 410.
+	onWatch func(events, bytes int)
 }
 
 func newStore(address string) *store {
@@ -72,11 +79,20 @@
 }
 
 func (s *store) publish(i item) {
-	s.history = append(s.history, i)
+	s.history, s.at = append(s.history, i), append(s.at, time.Now())
+	s.forget()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// forget drops what is older than keep.
+func (s *store) forget() {
+	for s.keep > 0 && len(s.at) > 0 && time.Since(s.at[0]) > s.keep {
+		s.dropped = s.history[0].Revision
+		s.history, s.at = s.history[1:], s.at[1:]
+	}
+}
+
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -102,6 +118,15 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		s.forget()
+		if after < s.dropped {
+			s.mu.Unlock()
+			if s.onWatch != nil {
+				s.onWatch(-1, 0)
+			}
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("prefix")) {
@@ -122,9 +147,21 @@
 			}
 		}
 		if len(events) > 0 || expired {
+			text, err := json.Marshal(map[string]any{"events": events, "asOf": revision})
+			check(err)
+			if s.onWatch != nil {
+				s.onWatch(len(events), len(text))
+			}
 			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": revision})
+			_, _ = w.Write(text)
 			return
 		}
 	}
 }
+
+// value returns the value of an item.
+func (s *store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
--- a/review/setting.go
+++ b/review/setting.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"slices"
@@ -76,11 +77,16 @@
 }
 
 // putConfig writes the configuration under the next version.
-func (s *scene) putConfig() {
+func (s *scene) putConfig() { s.store.put("op/config", s.nextConfig()) }
+
+// nextConfig returns the configuration under the next version.
+func (s *scene) nextConfig() []byte {
 	s.version += 3
 	list := append(append([]map[string]any{}, s.routes...), s.services...)
 	list = append(list, map[string]any{"entryKind": "limits", "metadata": map[string]any{}, "spec": s.limits})
-	s.store.put("op/config", map[string]any{"version": s.version, "resources": list})
+	value, err := json.Marshal(map[string]any{"version": s.version, "resources": list})
+	check(err)
+	return value
 }
 
 // addUpstreams starts n upstreams of a service, on addresses of their own.
