review: case 4, health checks that other upstreams run as requests

Cause (nothing fixed): gateway/select.go sends health checks without X-Expected-Instance. When the address of a crashed upstream goes to another service, whose path for health checks differs, the new upstream runs them as requests until the entry of the old one expires.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,6 +4,6 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/dogwoodroute-edge ] || exit 2
-timeout --kill-after=5 115 target/review-standin killer "$here/record.txt"
+timeout --kill-after=5 115 target/review-standin reuse "$here/record.txt"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/setting.go
+++ b/review/setting.go
@@ -66,8 +66,12 @@
 }
 
 func (s *scene) addService(name string, maxConnections int) {
+	s.addServiceWith(name, maxConnections, "/healthz")
+}
+
+func (s *scene) addServiceWith(name string, maxConnections int, healthPath string) {
 	s.services = append(s.services, map[string]any{"entryKind": "services", "metadata": map[string]any{"name": name},
-		"spec": map[string]any{"healthPath": "/healthz", "maxConnections": maxConnections, "protocol": "h1", "tls": false}})
+		"spec": map[string]any{"healthPath": healthPath, "maxConnections": maxConnections, "protocol": "h1", "tls": false}})
 }
 
 func (s *scene) addRoute(name, prefix, kind, service string, timeoutS, latencyS float64, priority, maxAttempts int) {
--- a/review/upstream.go
+++ b/review/upstream.go
@@ -15,6 +15,7 @@
 // upstream is one upstream: a server that runs one request at a time on a connection.
 type upstream struct {
 	id, service, zone, address string
+	healthPath                 string
 	slots                      int
 	work                       func() time.Duration
 	rec                        *record
@@ -41,7 +42,7 @@
 }
 
 func newUpstream(id, service, zone, address string, slots int, work func() time.Duration, rec *record) *upstream {
-	u := &upstream{id: id, service: service, zone: zone, address: address, slots: slots, work: work, rec: rec,
+	u := &upstream{id: id, service: service, zone: zone, address: address, slots: slots, work: work, rec: rec, healthPath: "/healthz",
 		born: time.Now().UnixMilli(), slot: make(chan struct{}, slots), conns: make(map[net.Conn]bool)}
 	u.state.Store("ready")
 	u.listen()
@@ -123,7 +124,7 @@
 func (u *upstream) handle(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("X-Request-Id")
 	common := fmt.Sprintf("X-Request-Id: %s\r\nX-Upstream-Load: %s\r\nX-Instance-Id: %s\r\n", id, u.load(), u.id)
-	if r.URL.Path == "/healthz" {
+	if r.URL.Path == u.healthPath {
 		status := "200 OK"
 		if u.state.Load() != "ready" {
 			status = "503 Service Unavailable"
