--- a/review/killer.go
+++ b/review/killer.go
@@ -18,7 +18,7 @@
 		upstreams = 14
 		backAfter = 3 * time.Second // of a crashed upstream
 		killerAt  = 15 * time.Second
-		length    = 50 * time.Second
+		length    = 70 * time.Second
 		comesEach = 1500 * time.Millisecond
 	)
 	s := newScene(c, machines)
