Refuse requests that may outlive a planned stop

What callers saw: an instance that was told to stop took requests on kept connections 4.4 s after SIGTERM, passed them on, and closed the connections 9.7 s after it without an answer.

Cause: a stop takes new requests for half of the shutdown time without regard to how long they may run. A request that is taken at 4.85 s of 9.7 s and has a deadline of 6 s may still run when the server closes its connections. dogwoodrouted has the same cause: it took requests with a deadline after the shutdown limit.

Change: the end of the drain is passed to the gateway (entry.Drain.Leave in dogwoodrouted). A deadline bounds a request for certain, an expected time does not.

Ruled out: a shorter margin before the platform kills the process (work that lasts a little longer is cut again); a wait inside the instance (targets began within 2 ms).

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -37,6 +37,9 @@
 	if refused != nil {
 		return nil, refused
 	}
+	if s.options.Drain.mayOutlive(request.Deadline) {
+		return nil, refusal.New(refusal.Leaving, "this instance might end before the deadline of the request")
+	}
 	ticket, refused := s.ticketOf(route, r.Header)
 	if refused != nil {
 		return nil, refused
--- a/entry/refuse_test.go
+++ b/entry/refuse_test.go
@@ -184,7 +184,7 @@
 	is := is.New(t)
 	f := start(t, standin.TargetOptions{}, nil)
 	is.True(!f.mustDo(t, http.MethodGet, "/echo", nil).Close)
-	f.entry.Drain().Leave()
+	f.entry.Drain().Leave(24 * time.Hour)
 	is.True(f.mustDo(t, http.MethodGet, "/echo", nil).Close)
 	is.True(f.mustDo(t, http.MethodGet, wire.PathResolve, nil).Close)
 	is.Equal(f.entry.Drain().End(), int64(0))
@@ -192,3 +192,17 @@
 	is.Equal(refused.Kind, refusal.Leaving)
 	is.Equal(refused.Execution, refusal.NotRun)
 }
+
+// Guards against a request that a leaving instance takes although its deadline is after
+// the shutdown limit, and aborts there after a target has run it.
+func TestRequestThatMayOutliveTheStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.TargetOptions{}, nil)
+	f.entry.Drain().Leave(time.Minute) // the route's deadline is ten minutes
+	refused := f.mustDo(t, http.MethodGet, "/echo", nil).refused
+	is.True(refused != nil)
+	is.Equal(refused.Kind, refusal.Leaving)
+	is.Equal(refused.Execution, refusal.NotRun)
+	is.Equal(len(f.target.RecordedRuns()), 0)
+	is.True(f.mustDo(t, http.MethodGet, "/echo", nil, wire.HeaderDeadline, "1000").refused == nil)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -63,7 +63,7 @@
 		s.refuseRequest(w, r, id, refusal.New(refusal.Leaving, "this instance has stopped serving"))
 		return
 	}
-	defer s.options.Drain.end()
+	defer s.options.Drain.done()
 	if s.options.Drain.InFlight() > int64(s.options.Limits.Requests) {
 		s.refuseRequest(w, r, id, overloaded("this instance holds as many requests as it may"))
 		return
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,6 +82,9 @@
 		return &response{status: http.StatusNotFound, outcome: outcomeNoRoute}
 	}
 	x.setDeadline(route)
+	if g.mayOutliveStop(x.deadline) {
+		return newRefusal(outcomeStopped, leavingRetryDelay)
+	}
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,7 +54,7 @@
 		select {
 		case s := <-r.selected:
 			r.selecting, r.lastReports = false, s.reports
-			r.releaseIfBlocked(&s)
+			r.releaseIfUnwanted(&s)
 			switch {
 			case s.refusal == nil:
 				r.startAttempt(s.reservation)
@@ -99,9 +99,10 @@
 	go func() { r.selected <- r.selectTarget(r.ctx, &request, p) }()
 }
 
-// releaseIfBlocked replaces a selected target by a refusal if the request has been
-// blocked since its arrival: it may have waited for the target, or this is a hedge.
-func (r *forwarder) releaseIfBlocked(s *selection) {
+// releaseIfUnwanted replaces a selected target by a refusal if the request must not be
+// sent any more: since its arrival it has been blocked, or a planned stop has begun that
+// may cut its first run. It may have waited for the target, or this is a hedge.
+func (r *forwarder) releaseIfUnwanted(s *selection) {
 	if s.refusal != nil {
 		return
 	}
@@ -111,6 +112,8 @@
 		s.refusal = r.stoppedRefusal()
 	case blocked > 0:
 		s.refusal = newRefusal(outcomeSuspect, blocked)
+	case r.gateway.mayOutliveStop(r.deadline) && !r.mayHaveRun():
+		s.refusal = newRefusal(outcomeStopped, leavingRetryDelay)
 	default:
 		return
 	}
@@ -199,17 +202,26 @@
 	return n
 }
 
+// possibleRuns returns the number of attempts, in progress or finished, that may have
+// run the request.
+func (r *forwarder) possibleRuns() int {
+	return r.countAttempts(func(a *attempt) bool { return !a.outcome.didNotRun() })
+}
+
+// mayHaveRun reports whether any attempt may have run the request.
+func (r *forwarder) mayHaveRun() bool { return r.possibleRuns() > 0 }
+
 // mayRetry reports whether one more attempt is allowed. A request that is not
 // idempotent may be retried only if no attempt so far can have run it.
 func (r *forwarder) mayRetry() bool {
 	if r.selecting || r.ctx.Err() != nil {
 		return false
 	}
-	mayHaveRun := r.countAttempts(func(a *attempt) bool { return !a.outcome.didNotRun() })
-	if !r.request.Route.Idempotent && mayHaveRun > 0 {
+	runs := r.possibleRuns()
+	if !r.request.Route.Idempotent && runs > 0 {
 		return false
 	}
-	return mayHaveRun < r.request.Route.MaxAttempts && len(r.attempts) < r.request.Route.MaxAttempts+maxRejections
+	return runs < r.request.Route.MaxAttempts && len(r.attempts) < r.request.Route.MaxAttempts+maxRejections
 }
 
 // retry starts the selection of a target for another attempt, and reports whether it
@@ -241,7 +253,7 @@
 // finalResponse returns the response when no further attempt is made. refusal is the
 // result of the last selection, or nil if there was none after the last attempt.
 func (r *forwarder) finalResponse(refusal *response) *response {
-	mayHaveRun := r.countAttempts(func(a *attempt) bool { return !a.outcome.didNotRun() }) > 0
+	mayHaveRun := r.mayHaveRun()
 	switch {
 	case r.targetFailure != nil && mayHaveRun:
 		return r.targetFailure
@@ -269,7 +281,7 @@
 	if r.caller.Context().Err() != nil {
 		return nil
 	}
-	if r.countAttempts(func(a *attempt) bool { return !a.outcome.didNotRun() }) > 0 {
+	if r.mayHaveRun() {
 		return newFailure(http.StatusGatewayTimeout, outcomeTimeout)
 	}
 	return newRefusal(outcomeLate, defaultRetryAfter)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	scheduler        *scheduler
 	client           *transport.Client
 	stopping         atomic.Bool
+	stopEnd          atomic.Int64 // argument of Stop; valid once stopping is true
 	refusing         atomic.Bool
 	memory           memoryLimit   // bodies in memory
 	connectionLimits sync.Map      // by address, int
@@ -102,8 +103,19 @@
 }
 
 // Stop makes the gateway not ready. It still serves requests, but closes each
-// caller's connection after the next response.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// caller's connection after the next response. It refuses requests that may not be
+// complete at end, the time at which the stop cuts those in progress: one that is cut
+// may have run, one that is refused can be served by another instance at once.
+func (g *Gateway) Stop(end time.Duration) {
+	g.stopEnd.Store(int64(end))
+	g.stopping.Store(true)
+}
+
+// mayOutliveStop reports whether a request with this deadline may still be in progress
+// at the end of a planned stop that has begun.
+func (g *Gateway) mayOutliveStop(deadline time.Duration) bool {
+	return g.stopping.Load() && deadline > time.Duration(g.stopEnd.Load())
+}
 
 // RefuseNew makes the gateway refuse requests that arrive from now on. Call it after
 // Stop.
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -276,7 +276,7 @@
 	is := is.New(t)
 	f := start(t, startTarget(t, "a", run))
 	is.True(f.gateway.Ready())
-	f.gateway.Stop()
+	f.gateway.Stop(time.Hour)
 	is.True(!f.gateway.Ready())
 	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
 }
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -56,7 +56,7 @@
 func TestLateRequestsOfAStopAreRefused(t *testing.T) {
 	is := is.New(t)
 	f := start(t, startTarget(t, "a", run))
-	f.gateway.Stop()
+	f.gateway.Stop(time.Hour)
 	got := f.send(t, http.MethodPost, "/unsafe/x", "body")
 	is.Equal(got.status, http.StatusOK) // served while callers still use the instance
 	f.gateway.RefuseNew()
@@ -64,3 +64,34 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.Equal(f.total(), int64(1))
 }
+
+// Guards against a request that a stopping instance takes although its deadline is after
+// the end of the stop, and cuts there after a target has run it.
+func TestRequestThatMayOutliveTheStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", run))
+	f.gateway.Stop(time.Nanosecond)
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		got := f.send(t, http.MethodPost, path, "body")
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+	}
+	is.Equal(f.total(), int64(0))
+}
+
+// Guards against the first send of a request that waits for room when a stop begins and
+// may outlive it.
+func TestWaitingRequestThatMayOutliveTheStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", run))
+	f.targets[0].load.Store("4,8,4")
+	status := make(chan int, 1)
+	go func() { status <- f.send(t, http.MethodPost, "/unsafe/x", "body").status }()
+	for f.targets[0].probes.Load() < 2 { // the second probe is of a request that waits
+		time.Sleep(time.Millisecond)
+	}
+	f.gateway.Stop(time.Nanosecond)
+	f.targets[0].load.Store("0,0,4")
+	is.Equal(<-status, http.StatusServiceUnavailable)
+	is.Equal(f.total(), int64(0))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	fleet    *fleet.Task
 	metrics  *metrics.Metrics
 	resolver resolver
+	now      func() time.Duration // time since New
 	servers  []*server
 	stop     chan struct{}
 	stopped  atomic.Bool
@@ -41,13 +42,13 @@
 	n := &Node{options: o, stop: make(chan struct{})}
 	n.settings.Store(o.Settings)
 	started := time.Now()
-	now := func() time.Duration { return time.Since(started) }
+	n.now = func() time.Duration { return time.Since(started) }
 	m, err := metrics.New(o.Settings.ID)
 	if err != nil {
 		return nil, errors.Wrap(err, "create metrics")
 	}
 	n.metrics = m
-	if err := n.openFleet(now); err != nil {
+	if err := n.openFleet(); err != nil {
 		return nil, err
 	}
 	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
@@ -58,7 +59,7 @@
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		BodyBytes:       int64(bodyMemoryShare * float64(o.Settings.MemoryBytes)),
-		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: now})
+		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
 	}
@@ -70,7 +71,7 @@
 		NewFleet: s.FirstStart}
 }
 
-func (n *Node) openFleet(now func() time.Duration) error {
+func (n *Node) openFleet() error {
 	s := n.options.Settings
 	self, err := netip.ParseAddrPort(s.Addresses.Peers)
 	if err != nil {
@@ -95,7 +96,7 @@
 	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port(), validity: min(resolveValidity, s.Bounds.ResolveValidity)}
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
-		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: now, OnView: n.viewChanged,
+		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: n.now, OnView: n.viewChanged,
 		OnFailureReports: func(list []quarantine.FailureReport) { n.gateway.AddFailureReports(list) }})
 	return nil
 }
--- a/node/run.go
+++ b/node/run.go
@@ -20,6 +20,9 @@
 	// reportTimeout bounds the time at the end of the drain for the last failure reports:
 	// the check of a target and one exchange with a peer.
 	reportTimeout = 700 * time.Millisecond
+	// lastResponseMargin is the time in which the response to a request that was taken
+	// during the stop and has used all its time is written to its caller.
+	lastResponseMargin = 100 * time.Millisecond
 	// shutdownMargin is the time between the end of the drain and the platform's
 	// shutdown timeout, after which the platform kills the process.
 	shutdownMargin = 300 * time.Millisecond
@@ -69,13 +72,14 @@
 // drain makes peers remove this instance from the lists for callers, serves new
 // requests for a while and asks their callers to close the connection, accepts the
 // connections that are queued, then refuses new requests and waits for those in progress,
-// and passes on the last failure reports, all within the shutdown timeout.
+// and passes on the last failure reports, all within the shutdown timeout. Requests that
+// may not be complete by then are refused from the start.
 func (n *Node) drain(ctx context.Context) {
 	limit := n.settings.Load().Bounds.ShutdownTimeout - shutdownMargin
 	n.options.Log.Info("shutdown requested, draining", "in_flight", n.gateway.InFlight(), "limit_ms", limit.Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	n.gateway.Stop()
+	n.gateway.Stop(n.now() + limit - lastResponseMargin)
 	n.fleet.Leave()
 	backoff.Sleep(ctx, max(0, time.Duration(acceptShare*float64(limit))-lastRequestWait))
 	for _, s := range n.servers {
--- a/serve.go
+++ b/serve.go
@@ -178,9 +178,10 @@
 
 // leave carries out a planned stop: it announces that the instance is leaving,
 // waits until resolve responses have expired, accepts the connections that are still
-// queued, and then waits for the requests in flight up to the shutdown limit.
+// queued, and then waits for the requests in flight up to the shutdown limit. Requests
+// that may take longer than that are refused from the start.
 func (i *Instance) leave(taskCtx context.Context, server *http.Server, queue *callerconn.Listener, conns *callerconn.Conns) error {
-	i.drain.Leave()
+	i.drain.Leave(i.now() + i.settings.ShutdownLimit())
 	i.members.Leave()
 	i.events.RecordState(timeline.Event{Kind: timeline.InstanceLeaving})
 	i.log.Info("instance leaving; serving until resolve responses expire", "in_flight", i.drain.InFlight())
