gateway: name the target in probes

What callers saw: requests of one service waited for slots that were taken by requests that no client had sent.

Cause: a probe carried only an identifier of its own. Requests name their target, so that another one rejects them with 421; for probes the identity was checked in the answer only, when they had been run.

Change: probes carry the header that names the target. An answer 421 comes from another target: the probed one counts as silent, and as down in a crash check.

Ruled out: entries that are kept too long (the platform reuses addresses earlier than it removes entries), connections that outlive their target.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -13,8 +13,8 @@
 	RequestID string
 	// Deadline holds the milliseconds left until the response must arrive.
 	Deadline string
-	// ExpectedTarget holds the ID of the target that a request is meant for. Any
-	// other target answers 421 and does not run it.
+	// ExpectedTarget holds the ID of the target that a request or a probe is meant for.
+	// Any other target answers 421 and does not run it.
 	ExpectedTarget string
 	// Signature is present in responses created by the target itself.
 	Signature string
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -243,3 +243,15 @@
 	time.Sleep(200 * time.Millisecond) // until the crash check has ended
 	is.Equal(len(f.failureReports), 0)
 }
+
+// Guards against a crash check that another target runs as a request, or whose rejection
+// counts as an answer of the target that is gone.
+func TestCrashCheckAtAReusedAddress(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		return !s.replaced.CompareAndSwap(false, true) && runReplaced(s, c, r, body)
+	}))
+	is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 502)
+	f.awaitFailureReport(t)
+	is.Equal(f.total(), int64(0))
+}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// runReplaced is the target that has replaced another one: it rejects what names that one,
+// and runs everything else.
+func runReplaced(s *target, c net.Conn, r *http.Request, body []byte) bool {
+	if r.Header.Get("Expected") == s.id {
+		s.respond(c, 421, r, "Identity: new", "")
+		return true
+	}
+	return run(s, c, r, body)
+}
+
+// Guards against probes that the target of another service runs as requests: it may have
+// got the address of a target that is gone, and has another path for probes.
+func TestProbesAreNotRunByOtherTargets(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", runReplaced))
+	f.targets[0].replaced.Store(true)
+	is.Equal(f.send(t, "GET", "/brief/x", "").status, 503)
+	is.True(len(f.targets[0].received()) > 0) // there were probes
+	is.Equal(f.total(), int64(0))
+}
+
 // Guards against changing a target's error response on the way to the caller.
 func TestTargetFailureIsPassedOn(t *testing.T) {
 	is := is.New(t)
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -188,14 +188,16 @@
 }
 
 // probe sends a probe and returns the response, whose body it has read. It fails if
-// no complete response arrives within probeTimeout.
+// no complete response arrives within probeTimeout. The probe names its target: another
+// one that has got the address may have another path for probes, and would run it as a
+// request.
 func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, newConnection bool) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	d := &g.options.Dialect
 	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
 	response, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
-		Header: http.Header{d.RequestID: {id}}, EchoHeader: d.RequestID, NewConnection: newConnection})
+		Header: http.Header{d.RequestID: {id}, d.ExpectedTarget: {t.ID}}, EchoHeader: d.RequestID, NewConnection: newConnection})
 	if err != nil {
 		return nil, err
 	}
@@ -206,6 +208,9 @@
 
 // isFrom reports whether a response to a probe is from the target, as far as it tells.
 func isFrom(d *Dialect, response *http.Response, t *catalog.Target) bool {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return false
+	}
 	respondent := response.Header.Get(d.TargetID)
 	return respondent == "" || respondent == t.ID
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -47,6 +47,8 @@
 type target struct {
 	id       string
 	listener net.Listener
+	// replaced is true once another target has the address, with another path for probes.
+	replaced atomic.Bool
 	load     atomic.Value // string
 	health   atomic.Int32 // status of probes
 	// serve answers a request other than a probe, and reports whether the connection
@@ -109,7 +111,7 @@
 		if err != nil {
 			return
 		}
-		if r.URL.Path == "/health" {
+		if r.URL.Path == "/health" && !s.replaced.Load() {
 			s.probes.Add(1)
 			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), "")
 			continue
