Name the target in requests and probes of dogwoodrouted

What callers would see: an instance with older tables sends a request to an address that another target has got meanwhile, and that target runs it.

Requests and probes named an address only; the identity of the receiver was assumed.

Change: both carry Dogwoodroute-Target with the name from the tables. A target that knows its name answers 421 with Target-Execution: not-run if it is another one; that counts as shed, without its load report. Targets that do not know the header behave as before.

Evidence: TestTargetAtAReusedAddressRunsNothing failed before.

--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,7 +42,7 @@
 // longest allowed, because the expected wait of a thousand queued callers depends
 // on the speed of the machine and must not cause refusals.
 func start(t testing.TB, to standin.TargetOptions, change func(*entry.Options)) *fixture {
-	to.Name = "t"
+	to.Name = cmp.Or(to.Name, "t") // another name: the target has got the address of t
 	target, err := standin.StartTarget(to)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -19,7 +19,7 @@
 // newAttempt builds the transport attempt for a send action. Headers with
 // wire.Prefix are dropped and set again here, so that a caller cannot forge them.
 func (e *exchange) newAttempt(a dispatch.Action) *transport.Attempt {
-	header := make(http.Header, len(e.request.Header)+3)
+	header := make(http.Header, len(e.request.Header)+4)
 	for name, values := range e.request.Header {
 		if !wire.HasPrefix(name) {
 			header[name] = values
@@ -27,8 +27,8 @@
 	}
 	removeHopHeaders(header)
 	header.Del("Expect") // the whole body has arrived
-	values := []string{e.id, strconv.Itoa(a.AttemptNumber)}
-	header[wire.HeaderRequestID], header[wire.HeaderAttempt] = values[0:1:1], values[1:2:2]
+	values := []string{e.id, strconv.Itoa(a.AttemptNumber), a.Target}
+	header[wire.HeaderRequestID], header[wire.HeaderAttempt], header[wire.HeaderTarget] = values[0:1:1], values[1:2:2], values[2:3:3]
 	wire.SetDeadline(header, e.dispatchRequest.Deadline-e.server.options.Now())
 	return &transport.Attempt{Target: a.Target, Address: a.Address, Method: e.request.Method,
 		URI: requestURI(e.request), Host: e.request.Host, Header: header, Body: e.body, Expires: a.Expires,
@@ -71,11 +71,15 @@
 var answeredByTarget = []string{wire.AnsweredByTarget}
 
 // classifyResponse returns the outcome and the load report in a response head. A
-// 503 response marked as "not run" counts as shed, other 5xx responses as errors.
+// 503 response marked as "not run" counts as shed, other 5xx responses as errors. So
+// does a 421 response with that mark, whose load report is that of another target.
 func classifyResponse(r *http.Response) dispatch.Response {
 	result := dispatch.Response{Outcome: balancer.OutcomeOK, Report: transport.ReportOf(r.Header)}
+	notRun := r.Header.Get(wire.HeaderTargetExecution) == wire.ExecutionNotRun
 	switch {
-	case r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(wire.HeaderTargetExecution) == wire.ExecutionNotRun:
+	case r.StatusCode == http.StatusMisdirectedRequest && notRun:
+		return dispatch.Response{Outcome: balancer.OutcomeShed}
+	case r.StatusCode == http.StatusServiceUnavailable && notRun:
 		result.Outcome = balancer.OutcomeShed
 	case r.StatusCode >= http.StatusInternalServerError:
 		result.Outcome = balancer.OutcomeError
--- a/entry/refuse_test.go
+++ b/entry/refuse_test.go
@@ -206,3 +206,15 @@
 	is.Equal(len(f.target.RecordedRuns()), 0)
 	is.True(f.mustDo(t, http.MethodGet, "/echo", nil, wire.HeaderDeadline, "1000").refused == nil)
 }
+
+// Guards against requests that a target runs which has got the address of the one that
+// they are meant for, and against probes that it answers with its own load.
+func TestTargetAtAReusedAddressRunsNothing(t *testing.T) {
+	is := is.New(t)
+	f := start(t, standin.TargetOptions{Name: "new"}, nil)
+	refused := f.mustDo(t, http.MethodGet, "/echo", nil, wire.HeaderDeadline, "1000").refused
+	is.True(refused != nil)
+	is.Equal(refused.Execution, refusal.NotRun)
+	is.Equal(len(f.target.RecordedRuns()), 0)
+	is.Equal(f.target.Probes(), int64(0))
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -111,8 +111,14 @@
 
 // ServeHTTP runs a request, or responds to a probe with a load report. The response
 // body of a run is a line with the target's name and the request identifier, followed
-// by the request body.
+// by the request body. It rejects what names another target.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if meant := r.Header.Get(wire.HeaderTarget); meant != "" && meant != t.options.Name {
+		w.Header().Set(wire.HeaderTargetExecution, wire.ExecutionNotRun)
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if r.URL.Path == wire.PathProbe {
 		t.probes.Add(1)
 		t.setReport(w.Header())
--- a/transport/probe.go
+++ b/transport/probe.go
@@ -18,7 +18,8 @@
 	result := balancer.ProbeResult{Target: target, Sent: c.options.Now()}
 	ctx, cancel := context.WithTimeout(ctx, c.options.ProbeTimeout)
 	defer cancel()
-	response, err := c.Do(ctx, &Attempt{Target: target, Address: address, Method: http.MethodGet, URI: wire.PathProbe})
+	response, err := c.Do(ctx, &Attempt{Target: target, Address: address, Method: http.MethodGet, URI: wire.PathProbe,
+		Header: http.Header{wire.HeaderTarget: {target}}})
 	if err != nil {
 		return result
 	}
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -26,6 +26,9 @@
 	HeaderAttempt    = Prefix + "Attempt"     // number of the attempt, from 1
 	HeaderTicket     = Prefix + "Ticket"
 	HeaderAnsweredBy = Prefix + "Answered-By"
+	// HeaderTarget holds the name of the target that a request or probe of an instance is
+	// meant for. Another target answers 421 and does not run it.
+	HeaderTarget = Prefix + "Target"
 )
 
 // Headers that targets set, and the value of HeaderTargetExecution for a request
