Apply changed seeds and other settings while the process runs

What callers saw: after a loss of power of the whole fleet five instances started again while the three that their seeds named stayed down. Three seconds later their settings named running instances, and they still never found each other.

Cause: seeds were copied into the fleet task at the start. A reload applied the retry budget and the shutdown timeout only.

Change: a reload replaces the seeds and contacts those that are not known as live. The same class elsewhere: the store's address (calls in progress at the old one end), the limit of probes, the memory for bodies and the validity of lists for callers were read once, too, and are applied now.

Ruled out: reports that get lost between instances that know each other (each knew no other one, and received no report).

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -119,8 +119,8 @@
 // maxDiscoveryContacts if all is true.
 func (t *Task) discover(now time.Duration, all bool) {
 	var unreached []netip.Addr
-	for _, seed := range t.options.Seeds {
-		if p := t.roster.peers[seed]; seed != t.options.IP && (p == nil || !t.roster.live(now, p)) {
+	for _, seed := range t.seeds {
+		if p := t.roster.peers[seed]; p == nil || !t.roster.live(now, p) {
 			unreached = append(unreached, seed)
 		}
 	}
@@ -214,7 +214,7 @@
 		return
 	}
 	if failures == 0 {
-		if t.set.Empty() && slices.Contains(t.options.Seeds, ip) { // the whole fleet may be starting
+		if t.set.Empty() && slices.Contains(t.seeds, ip) { // the whole fleet may be starting
 			time.AfterFunc(seedRetry, func() { t.loop.Post(func(now time.Duration) { t.contact(now, ip, broadcast{}) }) })
 		}
 		return
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -26,7 +26,8 @@
 	Incarnation uint32
 	// FirstStart is true if the whole fleet starts for the first time.
 	FirstStart bool
-	// Seeds are addresses of instances that may be running. They may be out of date.
+	// Seeds are addresses of instances that may be running. They may be out of date;
+	// Task.SetSeeds replaces them.
 	Seeds []netip.Addr
 	// Identity secures the connections to peers with mTLS. If nil, they are plaintext.
 	Identity *secure.Identity
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -38,7 +38,10 @@
 	view     atomic.Pointer[catalog.View]
 	snapshot atomic.Pointer[Snapshot]
 
-	roster  *roster
+	roster *roster
+	// seeds are the addresses from the settings of instances that may be running, without
+	// this one.
+	seeds   []netip.Addr
 	set     *records.Set
 	config  configInForce
 	builder *catalog.Builder
@@ -74,6 +77,7 @@
 	t := &Task{options: o, loop: owner.New(o.Now), set: records.NewSet(), builder: catalog.NewBuilder(),
 		clients: newClients(o.Port, o.Identity), exchanging: make(map[netip.Addr]bool), queued: make(map[netip.Addr]*broadcast)}
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
+	t.seeds = t.othersOf(o.Seeds)
 	t.view.Store(t.builder.Build(0, records.Position{}))
 	t.snapshot.Store(&Snapshot{Size: 1, self: Instance{IP: o.IP, Domain: o.Domain}, noShare: true})
 	return t
@@ -285,19 +289,19 @@
 func (t *Task) publishSnapshot(now time.Duration) {
 	self := Instance{IP: t.roster.self.IP, Domain: t.roster.self.Domain}
 	starting := len(t.roster.peers) == 0 && now-t.started < isolatedAfter
-	s := &Snapshot{Size: 1, self: self, noShare: starting || t.roster.self.State.Has(Leaving)}
+	s := &Snapshot{self: self, noShare: starting || t.roster.self.State.Has(Leaving)}
 	if t.roster.self.State.Has(Ready) {
 		s.Live = append(s.Live, self)
 	}
 	for _, p := range t.roster.peers {
 		if now-p.lastSeen < sizeRetention && !p.State.Has(Leaving) {
-			s.Size++
 			s.members = append(s.members, Instance{IP: p.IP, Domain: p.Domain})
 		}
 		if p.State.Has(Ready) && !p.State.Has(Leaving) && t.roster.live(now, p) {
 			s.Live = append(s.Live, Instance{IP: p.IP, Domain: p.Domain})
 		}
 	}
+	s.Size = 1 + len(s.members)
 	s.Isolated = s.Size > 1 && now-t.lastContact > isolatedAfter
 	t.snapshot.Store(s)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,7 @@
 		o.Isolated = func() bool { return false }
 	}
 	g := &Gateway{options: o, scheduler: newScheduler(o), configured: make(chan struct{})}
-	g.memory.limit = o.BodyBytes
+	g.memory.limit.Store(o.BodyBytes)
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
 		ConnectionLimit: g.connectionLimit})
 	return g
@@ -90,6 +90,12 @@
 // without a request so far also use its other fields.
 func (g *Gateway) SetRetryBudget(b RetryBudget) { g.scheduler.setBudget(b) }
 
+// SetProbesPerTarget replaces Options.ProbesPerTarget.
+func (g *Gateway) SetProbesPerTarget(perSecond float64) { g.scheduler.setProbesPerTarget(perSecond) }
+
+// SetBodyBytes replaces Options.BodyBytes.
+func (g *Gateway) SetBodyBytes(limit int64) { g.memory.limit.Store(limit) }
+
 // AddFailureReports adds failure reports from other instances.
 func (g *Gateway) AddFailureReports(list []quarantine.FailureReport) {
 	g.scheduler.addFailureReports(list)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -7,7 +7,7 @@
 
 // memoryLimit bounds the memory for bodies of all exchanges together.
 type memoryLimit struct {
-	limit int64
+	limit atomic.Int64
 	used  atomic.Int64
 }
 
@@ -29,7 +29,7 @@
 		return false
 	}
 	h.held += n
-	return h.limit.used.Add(n) <= h.limit.limit
+	return h.limit.used.Add(n) <= h.limit.limit.Load()
 }
 
 // release gives all bytes back and makes further reservations fail.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -85,6 +85,14 @@
 	})
 }
 
+// setProbesPerTarget replaces the limit of probes per target and second.
+func (s *scheduler) setProbesPerTarget(limit float64) {
+	s.loop.Post(func(now time.Duration) {
+		s.probesPerTarget = limit
+		s.updateFleet(now)
+	})
+}
+
 // retryShare returns this instance's share of the retry budget of a service. It is
 // called in the scheduler's goroutine only, as takeRetryBudget is.
 func (s *scheduler) retryShare(service string) *retry.BudgetShare {
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -62,7 +62,8 @@
 	if err != nil {
 		return errors.Wrap(err, "load certificates")
 	}
-	n, err := node.New(node.Options{Settings: settings, Source: platform.NewStore(settings.StoreAddress),
+	store := platform.NewStore(settings.StoreAddress)
+	n, err := node.New(node.Options{Settings: settings, Source: store,
 		Decoder: platform.Decoder{}, Dialect: platform.Dialect(), ResolveHandler: platform.ResolveHandler,
 		ReadyHandler: platform.ReadyHandler, Identity: identity, MetricsPort: f.metricsPort, Log: logger})
 	if err != nil {
@@ -73,6 +74,6 @@
 	defer signal.Stop(signals)
 	ended := make(chan struct{})
 	defer close(ended)
-	go (&supervisor{node: n, settingsPath: path, identity: identity, log: logger}).watch(signals, ended)
+	go (&supervisor{node: n, store: store, settingsPath: path, identity: identity, log: logger}).watch(signals, ended)
 	return n.Run(ctx)
 }
--- a/internal/edgecli/supervisor.go
+++ b/internal/edgecli/supervisor.go
@@ -15,6 +15,7 @@
 // supervisor passes signals and changes of the settings file to a node.
 type supervisor struct {
 	node         *node.Node
+	store        *platform.Store
 	settingsPath string
 	// identity is nil if connections between instances are not protected.
 	identity     *secure.Identity
@@ -61,5 +62,6 @@
 		s.log.Warn("settings invalid; the previous ones stay in use", "reason", reason, "error", err.Error())
 		return
 	}
+	s.store.SetAddress(settings.StoreAddress)
 	s.node.Reload(settings)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -18,10 +18,6 @@
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
-// bodyMemoryShare is the share of the process's memory limit that buffered request
-// bodies may use.
-const bodyMemoryShare = 0.25
-
 // Node is one load balancer instance. Run it once; Stop and Reload may be called
 // from other goroutines.
 type Node struct {
@@ -58,7 +54,7 @@
 			return n.fleet.Snapshot().Share(key, slices.Index(o.Settings.FailureDomains, domain), count)
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
-		BodyBytes:       int64(bodyMemoryShare * float64(o.Settings.MemoryBytes)),
+		BodyBytes:       o.Settings.bodyBytes(),
 		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
@@ -66,11 +62,6 @@
 	return n, nil
 }
 
-func (s *Settings) retryBudget() gateway.RetryBudget {
-	return gateway.RetryBudget{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Allowance: s.Bounds.RetryAllowance,
-		NewFleet: s.FirstStart}
-}
-
 func (n *Node) openFleet() error {
 	s := n.options.Settings
 	self, err := netip.ParseAddrPort(s.Addresses.Peers)
@@ -81,19 +72,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	seeds := make([]netip.Addr, 0, len(s.Seeds))
-	for _, text := range s.Seeds {
-		seed, err := netip.ParseAddrPort(text)
-		if err != nil {
-			return errors.Wrapf(err, "parse seed address %q", text)
-		}
-		seeds = append(seeds, seed.Addr())
+	seeds, err := s.seeds()
+	if err != nil {
+		return err
 	}
 	callers, err := netip.ParseAddrPort(s.Addresses.Callers)
 	if err != nil {
 		return errors.Wrap(err, "parse caller address")
 	}
-	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port(), validity: min(resolveValidity, s.Bounds.ResolveValidity)}
+	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port()}
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
 		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: n.now, OnView: n.viewChanged,
@@ -107,7 +94,9 @@
 	if err != nil {
 		return errors.Wrap(err, "parse caller address")
 	}
-	resolve := func(o gateway.Locality) ([]string, time.Duration) { return n.resolver.resolve(n.fleet.Snapshot(), o) }
+	resolve := func(o gateway.Locality) ([]string, time.Duration) {
+		return n.resolver.resolve(n.fleet.Snapshot(), o), n.settings.Load().resolveValidity()
+	}
 	n.servers = []*server{
 		newServer("callers", s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
 		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.newConns(), n.options.Log),
@@ -138,11 +127,3 @@
 	n.gateway.ViewChanged()
 	return n.gateway.Ready()
 }
-
-// Reload applies the settings that may change while the process runs: the retry
-// budget, and the shutdown timeout of the next stop. All others need a restart.
-func (n *Node) Reload(s *Settings) {
-	n.settings.Store(s)
-	n.gateway.SetRetryBudget(s.retryBudget())
-	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance)
-}
