fleet: an instance that reaches none of its seeds is not the whole fleet

Instances that had not met each other allowed two crashes by a request each, and would have used the whole of each fleet-wide budget each.

Cause: an instance that knows no other one counted as a fleet of one: not isolated, and with all of the retry budget, the probes, the connections and the limits that targets name. No contact was taken for the knowledge that there is nobody else.

Change: an instance whose settings name other instances, and which has had no contact for a second, is isolated and blocks a request after one crash. While it knows no other instance, its seeds count as members for a minute, as silent members do; then it serves with the whole budgets.

Ruled out: counting silent seeds also beside known members. Each stale seed of a healthy fleet would make all shares smaller for a minute.

--- a/fleet/seeds.go
+++ b/fleet/seeds.go
@@ -15,7 +15,7 @@
 		if slices.Equal(others, t.seeds) {
 			return
 		}
-		t.seeds = others
+		t.seeds, t.seedsSince = others, now
 		t.options.Log.Info("seeds changed", "seeds", len(others), "known", len(t.roster.peers)+1)
 		for _, ip := range others {
 			if p := t.roster.peers[ip]; p == nil || !t.roster.live(now, p) {
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -13,10 +13,12 @@
 	// run. It includes this one while it is ready. The order is arbitrary.
 	Live []Instance
 	// Size is the number of instances that may be running, this one included, by which
-	// fleet-wide budgets are divided. An instance that falls silent counts for a while.
+	// fleet-wide budgets are divided. An instance that falls silent counts for a while, and
+	// so do the seeds while this instance knows no other.
 	Size int
 	// Isolated is true while this instance has no contact with any of the others that may
-	// be running, so that it does not learn what they find.
+	// be running, so that it does not learn what they find. Seeds that it has never reached
+	// are such others.
 	Isolated bool
 	// members are the instances that Size counts, without this one, self.
 	members []Instance
@@ -34,7 +36,8 @@
 	own, rank := shareOrder(key, s.self), 0
 	for _, m := range s.members {
 		order := shareOrder(key, m)
-		if before := (m.Domain == domain) != (s.self.Domain == domain); before && m.Domain == domain || !before && order < own {
+		sameOrder := m.Domain == unknownDomain || (m.Domain == domain) == (s.self.Domain == domain)
+		if sameOrder && order < own || !sameOrder && m.Domain == domain {
 			rank++
 		}
 	}
@@ -47,6 +50,10 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64(ip[:], key))
 }
 
+// unknownDomain is the domain of an instance of which only the address is known. It counts
+// as being as near as this instance.
+const unknownDomain = -1
+
 // Instance is one live instance. Domain is the index of its failure domain.
 type Instance struct {
 	IP     netip.Addr
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -40,15 +40,16 @@
 
 	roster *roster
 	// seeds are the addresses from the settings of instances that may be running, without
-	// this one.
-	seeds   []netip.Addr
-	set     *records.Set
-	config  configInForce
-	builder *catalog.Builder
-	clients *clients
-	packer  packer
-	context context.Context
-	started time.Duration
+	// this one. They were set at seedsSince.
+	seeds      []netip.Addr
+	seedsSince time.Duration
+	set        *records.Set
+	config     configInForce
+	builder    *catalog.Builder
+	clients    *clients
+	packer     packer
+	context    context.Context
+	started    time.Duration
 	// readNotBefore is the earliest time at which the instance may read the store.
 	readNotBefore time.Duration
 
@@ -107,6 +108,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.context, t.started = ctx, t.options.Now()
+	t.seedsSince = t.started
 	t.readNotBefore = t.started + t.options.startDelay()
 	server := grpc.NewServer(t.options.Identity.ServerOption(), grpc.ReadBufferSize(connectionBufferBytes), grpc.WriteBufferSize(connectionBufferBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.ConnectionTimeout(exchangeTimeout))
@@ -301,8 +303,13 @@
 			s.Live = append(s.Live, Instance{IP: p.IP, Domain: p.Domain})
 		}
 	}
+	if len(t.roster.peers) == 0 && now-t.seedsSince < sizeRetention {
+		for _, seed := range t.seeds { // they may be running, and know others
+			s.members = append(s.members, Instance{IP: seed, Domain: unknownDomain})
+		}
+	}
 	s.Size = 1 + len(s.members)
-	s.Isolated = s.Size > 1 && now-t.lastContact > isolatedAfter
+	s.Isolated = (len(s.members) > 0 || len(t.seeds) > 0) && now-max(t.lastContact, t.started) > isolatedAfter
 	t.snapshot.Store(s)
 }
 
