Count the memory of requests by the room that is allocated

What callers saw: one caller that sent long bodies in chunks, or targets that answered without end, brought the process over the memory that the platform gives it.

Cause: bodies were counted by their length. A buffer that doubles takes up to three times that while it grows, what it leaves is garbage, and without a memory limit the runtime lets the heap double before it collects. So a quarter of the memory for bodies became all of it.

Change: bodies are read into segments that are never copied, and each segment is reserved before it is allocated. The runtime has a limit of 0.8 of the process's memory, requests in progress 0.46 of it, with their headers and buffers. Bodies beyond 64 KiB have memory of their own, apart for requests and responses: short ones always have room, one of several long ones is always completed, one caller or target can't take all of it. An announced length that does not fit is refused at once. dogwoodrouted reads bodies in the same way.

Ruled out: a missing bound (there was one, of 55 MB); the free 64 KiB of each response.

The fixture of the gateway's tests has four times its memory: long responses have a part of it only. Its assertions are the same.

--- a/caller/call.go
+++ b/caller/call.go
@@ -133,7 +133,7 @@
 		wire.SetDeadline(header, remaining-min(remaining/refusalMarginDivisor, maxRefusalMargin))
 	}
 	return &transport.Attempt{Target: c.instance.ID, Address: c.instance.Address, Method: c.request.Method,
-		URI: c.request.Path, Host: c.request.Host, Header: header, Body: c.request.Body}
+		URI: c.request.Path, Host: c.request.Host, Header: header, Body: [][]byte{c.request.Body}}
 }
 
 // retryDecision returns whether another attempt is allowed and useful after an
--- a/entry/body.go
+++ b/entry/body.go
@@ -1,18 +1,15 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 	"github.com/dogwoodroute/dogwoodroute/refusal"
 )
 
-// initialBodyBytes is the buffer size allocated before the first bytes of a body
-// arrive. Memory is not reserved for the declared length, because slow senders
-// could then exhaust the memory limit.
-const initialBodyBytes = 4 << 10
-
 // requestMemory counts the memory of one request against Options.MemoryBytes.
 // release must be called when the request ends.
 type requestMemory struct {
@@ -38,8 +35,10 @@
 	m.bytes = 0
 }
 
-// readBody reads the whole body into memory, so that the request can be retried.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, memory *requestMemory) ([]byte, *refusal.Refusal) {
+// readBody reads the whole body into memory, so that the request can be retried. Memory
+// is reserved as data arrives and not for the declared length, because slow senders could
+// then exhaust the memory limit.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, memory *requestMemory) (*segments.Buffer, *refusal.Refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -47,11 +46,18 @@
 	if r.ContentLength > limit {
 		return nil, refusal.New(refusal.TooLarge, "the request body is over the limit")
 	}
-	body, refused := readAll(r, limit, memory)
-	if refused == nil {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // unsupported only in tests
+	body := new(segments.Buffer)
+	err := body.Fill(r.Body, r.ContentLength, limit, memory.grow)
+	switch {
+	case errors.Is(err, segments.ErrNoMemory):
+		return nil, overloaded("the memory for request bodies is used up")
+	case errors.Is(err, segments.ErrTooLong):
+		return nil, refusal.New(refusal.TooLarge, "the request body is over the limit")
+	case err != nil:
+		return nil, refusal.New(refusal.BadRequest, "the request body did not arrive whole")
 	}
-	return body, refused
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // unsupported only in tests
+	return body, nil
 }
 
 // setBodyDeadlines limits the time to receive a request's body. The deadline
@@ -63,32 +69,3 @@
 	_ = controller.SetReadDeadline(end)  // unsupported only in tests
 	_ = controller.SetWriteDeadline(end) // replaces the deadline of the previous response before "100 Continue" is written
 }
-
-// readAll reads a body of at most limit bytes. Its buffer grows as data arrives
-// and is counted in memory.
-func readAll(r *http.Request, limit int64, memory *requestMemory) ([]byte, *refusal.Refusal) {
-	maxBytes := limit + 1 // the extra byte reveals a body over the limit
-	if r.ContentLength >= 0 {
-		maxBytes = r.ContentLength + 1
-	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			size := min(max(2*int64(cap(body)), initialBodyBytes), maxBytes)
-			if !memory.grow(size - int64(cap(body))) {
-				return nil, overloaded("the memory for request bodies is used up")
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			return nil, refusal.New(refusal.TooLarge, "the request body is over the limit")
-		case err != nil && err != io.EOF:
-			return nil, refusal.New(refusal.BadRequest, "the request body did not arrive whole")
-		case err == io.EOF:
-			return body, nil
-		}
-	}
-}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/balancer"
 	"github.com/dogwoodroute/dogwoodroute/dispatch"
+	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 	"github.com/dogwoodroute/dogwoodroute/refusal"
 )
 
@@ -18,8 +19,8 @@
 	request         *http.Request
 	id              string
 	route           string
-	ticket          string // set on non-idempotent routes
-	body            []byte
+	ticket          string           // set on non-idempotent routes
+	body            *segments.Buffer // nil if it is empty
 	memory          *requestMemory
 	dispatchRequest dispatch.Request
 	arrivedAt       time.Duration // when the request header had been read
--- a/entry/fingerprint.go
+++ b/entry/fingerprint.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 )
 
 // Fingerprint identifies a request by its content. Requests with equal
@@ -13,7 +15,7 @@
 // fingerprintOf hashes the route, method, path with query, and body. The hash is
 // cryptographic, so that no caller can construct a request that collides with
 // another one.
-func fingerprintOf(route string, r *http.Request, body []byte) Fingerprint {
+func fingerprintOf(route string, r *http.Request, body *segments.Buffer) Fingerprint {
 	hash := sha256.New()
 	for _, part := range []string{route, r.Method, requestURI(r)} {
 		var size [8]byte
@@ -21,6 +23,6 @@
 		_, _ = hash.Write(size[:]) // never fails
 		_, _ = hash.Write([]byte(part))
 	}
-	_, _ = hash.Write(body)
+	_, _ = body.WriteTo(hash)
 	return Fingerprint(hash.Sum(nil)[:16])
 }
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -31,7 +31,7 @@
 	header[wire.HeaderRequestID], header[wire.HeaderAttempt], header[wire.HeaderTarget] = values[0:1:1], values[1:2:2], values[2:3:3]
 	wire.SetDeadline(header, e.dispatchRequest.Deadline-e.server.options.Now())
 	return &transport.Attempt{Target: a.Target, Address: a.Address, Method: e.request.Method,
-		URI: requestURI(e.request), Host: e.request.Host, Header: header, Body: e.body, Expires: a.Expires,
+		URI: requestURI(e.request), Host: e.request.Host, Header: header, Body: e.body.Segments(), Expires: a.Expires,
 		EchoHeader: wire.HeaderRequestID, EchoMayDiffer: true} // recognizes late responses of targets that copy the header
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"os"
@@ -12,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/transport"
 )
@@ -67,11 +66,11 @@
 	g := x.gateway
 	resp, err := g.client.Do(ctx, request)
 	if err == nil {
-		var body []byte
-		body, err = x.readResponse(resp.Body)
+		var body segments.Buffer
+		err = x.readResponse(request, resp, &body)
 		_ = resp.Body.Close() // readResponse has already detected an incomplete body
 		if err == nil {
-			e := x.classify(resp, body)
+			e := x.classify(resp, &body)
 			e.endedAt = g.options.Now()
 			if load, ok := g.options.Dialect.ParseLoad(resp.Header.Get(g.options.Dialect.Load)); ok {
 				e.load = load
@@ -105,11 +104,11 @@
 	remaining := max(0, (x.deadline - x.gateway.options.Now()).Milliseconds())
 	header[d.Deadline] = []string{strconv.FormatInt(remaining, 10)}
 	return &transport.Attempt{Target: a.Target.ID, Address: a.Target.Address, Method: x.caller.Method,
-		URI: x.caller.RequestURI, Host: x.caller.Host, Header: header, Body: x.body, EchoHeader: d.RequestID}
+		URI: x.caller.RequestURI, Host: x.caller.Host, Header: header, Body: x.body.Segments(), EchoHeader: d.RequestID}
 }
 
 // classify returns the outcome for a complete response of a target.
-func (x *exchange) classify(resp *http.Response, body []byte) attemptEnd {
+func (x *exchange) classify(resp *http.Response, body *segments.Buffer) attemptEnd {
 	d := &x.gateway.options.Dialect
 	signed := resp.Header.Get(d.Signature) != ""
 	status := resp.StatusCode
@@ -164,34 +163,9 @@
 	return r
 }
 
-// freeResponseBytes is the part of a response that needs no reservation. Most
-// responses are shorter.
-const freeResponseBytes = 64 << 10
-
 // readResponse reads the body of a response. It fails if the body exceeds
-// maxResponseBytes, or the bodies in memory exceed Options.BodyBytes.
-func (x *exchange) readResponse(body io.Reader) ([]byte, error) {
-	buffer := bytes.NewBuffer(make([]byte, 0, bytes.MinRead))
-	for {
-		n, err := io.CopyN(buffer, body, freeResponseBytes)
-		switch {
-		case err == io.EOF:
-			return buffer.Bytes(), nil
-		case err != nil:
-			return nil, err
-		case buffer.Len() > maxResponseBytes:
-			return nil, errors.Errorf("response body exceeds %d bytes", maxResponseBytes)
-		case !x.memory.reserve(n):
-			return nil, errors.New("no memory for the rest of the response body")
-		}
-	}
-}
-
-// readAll reads a body of at most limit bytes and fails if it is longer.
-func readAll(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err == nil && int64(len(data)) > limit {
-		return nil, errors.Errorf("response body exceeds %d bytes", limit)
-	}
-	return data, err
+// maxResponseBytes, or the memory for it is used up.
+func (x *exchange) readResponse(request *transport.Attempt, resp *http.Response, body *segments.Buffer) error {
+	memory := x.memory.newResponseBody(request.Target)
+	return body.Fill(resp.Body, resp.ContentLength, maxResponseBytes, memory.reserve)
 }
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -71,7 +71,7 @@
 // response that exceeds the limit is a failure, and its memory is free afterwards.
 func TestResponsesShareTheMemoryLimit(t *testing.T) {
 	is := is.New(t)
-	size := 2 << 20 // the limit of the fixture is one MiB
+	size := 2 << 20 // the memory of the fixture for long responses is less than one MiB
 	f := start(t, startTarget(t, "a", func(_ *target, conn net.Conn, r *http.Request, _ []byte) bool {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: yes\r\nContent-Length: %d\r\n\r\n%s",
 			r.Header.Get("Id"), size, strings.Repeat("a", size))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/poison"
 )
@@ -43,8 +45,8 @@
 	arrived    time.Duration // since the start of the process, as all times here
 	view       *catalog.View
 	request    placement.Request
-	body       []byte
-	memory     memoryHold // for the bodies of the request and of responses
+	body       segments.Buffer
+	memory     memoryHold // of the exchange with the bodies of the request and of responses
 	attempts   []*attempt
 	response   *response
 	writeErr   error
@@ -73,9 +75,13 @@
 	if x.view.Config == nil {
 		return newRefusal(outcomeNoConfig, defaultRetryAfter)
 	}
-	if limit := x.view.Config.Limits.HeaderBytes; limit > 0 && headerBytes(x.caller) > limit {
+	header := headerBytes(x.caller)
+	if limit := x.view.Config.Limits.HeaderBytes; limit > 0 && header > limit {
 		return &response{status: http.StatusRequestHeaderFieldsTooLarge, outcome: outcomeTooLarge}
 	}
+	if !x.memory.reserve(exchangeOverhead + int64(header)) {
+		return newRefusal(outcomeNoRoom, defaultRetryAfter)
+	}
 	path, _, _ := strings.Cut(x.caller.RequestURI, "?")
 	route := x.view.Routes.Match(x.caller.Host, path)
 	if route == nil {
@@ -161,6 +167,15 @@
 	return newRefusal(outcomeStopped, defaultRetryAfter)
 }
 
+// callerAddress returns the IP address of the caller.
+func (x *exchange) callerAddress() string {
+	host, _, err := net.SplitHostPort(x.caller.RemoteAddr)
+	if err != nil {
+		return x.caller.RemoteAddr // without a port the address is the same for each request
+	}
+	return host
+}
+
 // headerBytes returns the length of the request line and the header fields as sent
 // in HTTP/1.1.
 func headerBytes(r *http.Request) int {
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"net"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,12 +33,8 @@
 	if x.fingerprintKnown {
 		return x.cachedFingerprint
 	}
-	host, _, err := net.SplitHostPort(x.caller.RemoteAddr)
-	if err != nil {
-		host = x.caller.RemoteAddr // without a port the address is the same for each request
-	}
-	h := poison.NewHasher(host+" "+x.caller.Host, x.caller.Method, x.caller.RequestURI)
-	_, _ = h.Write(x.body) // never fails
+	h := poison.NewHasher(x.callerAddress()+" "+x.caller.Host, x.caller.Method, x.caller.RequestURI)
+	_, _ = x.body.WriteTo(h) // never fails
 	x.cachedFingerprint, x.fingerprintKnown = h.Sum(), true
 	return x.cachedFingerprint
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,7 @@
 	stopping         atomic.Bool
 	stopEnd          atomic.Int64 // argument of Stop; valid once stopping is true
 	refusing         atomic.Bool
-	memory           memoryLimit   // bodies in memory
+	memory           *memoryLimit  // of exchanges
 	connectionLimits sync.Map      // by address, int
 	probes           atomic.Uint64 // sent so far, numbers their IDs
 	inFlight         atomic.Int64
@@ -53,8 +53,7 @@
 	if o.Isolated == nil {
 		o.Isolated = func() bool { return false }
 	}
-	g := &Gateway{options: o, scheduler: newScheduler(o), configured: make(chan struct{})}
-	g.memory.limit.Store(o.BodyBytes)
+	g := &Gateway{options: o, scheduler: newScheduler(o), memory: newMemoryLimit(o.MemoryBytes), configured: make(chan struct{})}
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
 		ConnectionLimit: g.connectionLimit})
 	return g
@@ -93,8 +92,8 @@
 // SetProbesPerTarget replaces Options.ProbesPerTarget.
 func (g *Gateway) SetProbesPerTarget(perSecond float64) { g.scheduler.setProbesPerTarget(perSecond) }
 
-// SetBodyBytes replaces Options.BodyBytes.
-func (g *Gateway) SetBodyBytes(limit int64) { g.memory.limit.Store(limit) }
+// SetMemoryBytes replaces Options.MemoryBytes.
+func (g *Gateway) SetMemoryBytes(limit int64) { g.memory.setLimit(limit) }
 
 // AddFailureReports adds failure reports from other instances.
 func (g *Gateway) AddFailureReports(list []quarantine.FailureReport) {
@@ -136,7 +135,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{gateway: g, caller: r, controller: http.NewResponseController(w),
-		arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID), memory: memoryHold{limit: &g.memory}}
+		arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID), memory: memoryHold{limit: g.memory}}
 	defer x.memory.release()
 	resp := x.serve()
 	if resp != nil {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -44,9 +44,11 @@
 	// ProbesPerTarget limits the probes per second that a target gets from all
 	// instances together. 0: unlimited.
 	ProbesPerTarget float64
-	// BodyBytes limits the total size of the bodies of requests and responses in
-	// memory, without the first 64 KiB of each response.
-	BodyBytes int64
+	// MemoryBytes limits the memory of all exchanges: their headers, the bodies of
+	// requests and responses, and the buffers of their connections. A part of it may
+	// hold the parts of request bodies beyond their first 64 KiB, another those of
+	// responses.
+	MemoryBytes int64
 	// LocalReportWait and RemoteReportWait limit the wait for load reports of
 	// targets in this failure domain and in others. Defaults: 6 ms and 12 ms.
 	LocalReportWait, RemoteReportWait time.Duration
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -4,13 +4,15 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 )
 
 // response is the response to a caller.
 type response struct {
 	status int
-	header http.Header // set only for a response forwarded from a target
-	body   []byte
+	header http.Header      // set only for a response forwarded from a target
+	body   *segments.Buffer // nil if it is empty
 	// retryAfter is set on refusals, which state that the request did not run.
 	retryAfter time.Duration
 	outcome    outcome
@@ -74,9 +76,9 @@
 		h.Set("Connection", "close")
 	}
 	if x.caller.Method != http.MethodHead && resp.status != http.StatusNoContent && resp.status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+		h.Set("Content-Length", strconv.FormatInt(resp.body.Len(), 10))
 	}
 	w.WriteHeader(resp.status)
-	_, x.writeErr = w.Write(resp.body)
+	_, x.writeErr = resp.body.WriteTo(w)
 	x.response = resp
 }
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/placement"
@@ -202,7 +205,10 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }() // an error only closes the connection
-	_, err = readAll(response.Body, maxProbeBytes)
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes+1))
+	if err == nil && n > maxProbeBytes {
+		err = errors.Errorf("body of a probe response exceeds %d bytes", maxProbeBytes)
+	}
 	return response, err
 }
 
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -197,7 +197,7 @@
 		Instances:   func() int { return 1 },
 		Isolated:    f.isolated.Load,
 		RetryBudget: gateway.RetryBudget{Ratio: 1, Window: time.Minute, Allowance: 1000, NewFleet: true},
-		BodyBytes:   1 << 20, ConfigWait: testTimeout,
+		MemoryBytes: 4 << 20, ConfigWait: testTimeout,
 		// Long, so that no report is ignored on a busy machine.
 		LocalReportWait: testTimeout, RemoteReportWait: testTimeout, Log: slog.New(slog.DiscardHandler),
 		Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
--- a/internal/bench/overheadpath.go
+++ b/internal/bench/overheadpath.go
@@ -70,7 +70,7 @@
 	request.Header.Set(wire.HeaderRequestID, id)
 	want := overheadPool + "-00 " + id + "\n" + string(request.Body)
 	text, err := exchange(ctx, client, &transport.Attempt{Address: p.address, Method: request.Method, URI: request.Path,
-		Header: request.Header, Body: request.Body})
+		Header: request.Header, Body: [][]byte{request.Body}})
 	took := time.Since(dueAt)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -58,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(settings.RuntimeBytes())
 	identity, err := secure.Load(f.security)
 	if err != nil {
 		return errors.Wrap(err, "load certificates")
--- a/internal/edgecli/supervisor.go
+++ b/internal/edgecli/supervisor.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,6 +63,7 @@
 		s.log.Warn("settings invalid; the previous ones stay in use", "reason", reason, "error", err.Error())
 		return
 	}
+	debug.SetMemoryLimit(settings.RuntimeBytes())
 	s.store.SetAddress(settings.StoreAddress)
 	s.node.Reload(settings)
 }
--- /dev/null
+++ b/node/memory.go
@@ -0,0 +1,18 @@
+package node
+
+// Shares of the memory limit of the process. What is left is for the records of the store,
+// the state of the fleet and of targets, idle connections and garbage.
+const (
+	// exchangeMemoryShare is the share that requests in progress may hold.
+	exchangeMemoryShare = 0.46
+	// runtimeMemoryShare is the share up to which the Go runtime may use memory before it
+	// collects garbage in any case. The rest is for memory that the runtime does not
+	// manage, and for what is allocated while a collection runs.
+	runtimeMemoryShare = 0.8
+)
+
+// exchangeBytes returns the memory for requests in progress.
+func (s *Settings) exchangeBytes() int64 { return int64(exchangeMemoryShare * float64(s.MemoryBytes)) }
+
+// RuntimeBytes returns the memory limit for the Go runtime, for debug.SetMemoryLimit.
+func (s *Settings) RuntimeBytes() int64 { return int64(runtimeMemoryShare * float64(s.MemoryBytes)) }
--- a/node/node.go
+++ b/node/node.go
@@ -54,7 +54,7 @@
 			return n.fleet.Snapshot().Share(key, slices.Index(o.Settings.FailureDomains, domain), count)
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
-		BodyBytes:       o.Settings.bodyBytes(),
+		MemoryBytes:     o.Settings.exchangeBytes(),
 		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
--- a/node/reload.go
+++ b/node/reload.go
@@ -23,7 +23,7 @@
 	n.fleet.SetSeeds(seeds)
 	n.gateway.SetRetryBudget(s.retryBudget())
 	n.gateway.SetProbesPerTarget(s.Bounds.ProbesPerTarget)
-	n.gateway.SetBodyBytes(s.bodyBytes())
+	n.gateway.SetMemoryBytes(s.exchangeBytes())
 	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance,
 		"seeds", len(seeds), "probes_per_target", s.Bounds.ProbesPerTarget, "memory_bytes", s.MemoryBytes)
 	if len(fixed) > 0 {
@@ -66,10 +66,3 @@
 	return gateway.RetryBudget{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Allowance: s.Bounds.RetryAllowance,
 		NewFleet: s.FirstStart}
 }
-
-// bodyMemoryShare is the share of the process's memory limit that buffered request
-// bodies may use.
-const bodyMemoryShare = 0.25
-
-// bodyBytes returns the memory for bodies of requests and responses.
-func (s *Settings) bodyBytes() int64 { return int64(bodyMemoryShare * float64(s.MemoryBytes)) }
--- a/transport/attempt.go
+++ b/transport/attempt.go
@@ -18,7 +18,8 @@
 	Host string
 	// Header is sent without hop-by-hop headers, Host, Content-Length and Expect.
 	Header http.Header
-	Body   []byte
+	// Body is the body in segments, which are sent one after the other.
+	Body [][]byte
 	// Expires is the latest time, on the clock of Options.Now, at which writing the
 	// request may begin. Zero: no limit.
 	Expires time.Duration
--- a/transport/client_test.go
+++ b/transport/client_test.go
@@ -76,7 +76,7 @@
 
 func send(ctx context.Context, c *transport.Client, address, fault, body string) (string, error) {
 	response, err := c.Do(ctx, &transport.Attempt{Target: "t", Address: address, Method: http.MethodPost, URI: "/",
-		Header: http.Header{standin.HeaderFault: {fault}, wire.HeaderRequestID: {"r"}}, Body: []byte(body)})
+		Header: http.Header{standin.HeaderFault: {fault}, wire.HeaderRequestID: {"r"}}, Body: [][]byte{[]byte(body)}})
 	if err != nil {
 		return "", err
 	}
@@ -116,7 +116,7 @@
 	target := startTarget(t, standin.TargetOptions{Name: "t"})
 	client := newClient(t, transport.Options{})
 	response, err := client.Do(testContext(t), &transport.Attempt{Address: target.Address(), Method: http.MethodPost,
-		URI: "/", Body: make([]byte, 1<<20)})
+		URI: "/", Body: [][]byte{make([]byte, 1<<20)}})
 	is.NoErr(err)
 	_, err = io.ReadFull(response.Body, make([]byte, 10))
 	is.NoErr(err)
--- a/transport/request.go
+++ b/transport/request.go
@@ -66,13 +66,19 @@
 			writeAll(w, name, ": ", value, "\r\n")
 		}
 	}
-	if len(a.Body) > 0 || a.Method == http.MethodPost || a.Method == http.MethodPut || a.Method == http.MethodPatch {
+	length := 0
+	for _, segment := range a.Body {
+		length += len(segment)
+	}
+	if length > 0 || a.Method == http.MethodPost || a.Method == http.MethodPut || a.Method == http.MethodPatch {
 		_, _ = w.WriteString("Content-Length: ")
-		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(len(a.Body)), 10))
+		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(length), 10))
 		writeAll(w, "\r\n")
 	}
 	writeAll(w, "\r\n")
-	_, _ = w.Write(a.Body)
+	for _, segment := range a.Body {
+		_, _ = w.Write(segment)
+	}
 	return w.Flush() // a bufio.Writer keeps its first error
 }
 
