callerconn: bound the memory for headers that are not complete

What callers would see: a few hundred connections with slow headers of up to 256 KiB each take the memory of the process, and the requests of all callers end with it.

The limit for a header holds for each connection; headers of which only a part has arrived were not counted together.

Change: their bytes beyond the first 4 KiB of each have a limit over all connections of a server, 0.02 of the process's memory. The connection that exceeds it is closed; its request has not been read whole. Callers with short headers are not affected.

Evidence: TestLongHeadersShareAMemoryLimit; the call that it needs is new.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -26,11 +26,13 @@
 	net.Conn
 	limits  func() Limits
 	expired func(Expiry)
+	headers *headerMemory
 
 	mu      sync.Mutex
 	phase   phase
 	since   time.Time // when the phase began
 	waiting bool      // a read for the first byte of a request is in progress
+	header  int64     // bytes received in the phases idle and header
 	// closingAt is when Close was called while the connection could not be closed at
 	// once, zero if it was not.
 	closingAt time.Time
@@ -47,8 +49,8 @@
 )
 
 // newConn returns a connection whose idle time starts at once.
-func newConn(raw net.Conn, limits func() Limits, expired func(Expiry)) *Conn {
-	return &Conn{Conn: raw, limits: limits, expired: expired, since: time.Now()}
+func newConn(raw net.Conn, limits func() Limits, expired func(Expiry), headers *headerMemory) *Conn {
+	return &Conn{Conn: raw, limits: limits, expired: expired, headers: headers, since: time.Now()}
 }
 
 // Read implements net.Conn. While no request is served, the limits replace the read
@@ -73,7 +75,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waiting && c.phase != phaseHeader {
-		c.phase = phaseEnded
+		c.enter(phaseEnded)
 		return c.Conn.Close()
 	}
 	if !c.closingAt.IsZero() {
@@ -107,7 +109,13 @@
 	}
 }
 
-func (c *Conn) enter(p phase) { c.phase, c.since = p, time.Now() }
+func (c *Conn) enter(p phase) {
+	if p != phaseHeader {
+		c.headers.release(c.header)
+		c.header = 0
+	}
+	c.phase, c.since = p, time.Now()
+}
 
 // beginRead sets the deadline of the next read while no request is served. last is true if
 // the wait is over already, so that the read only looks for bytes that have arrived.
@@ -138,10 +146,21 @@
 	switch {
 	case c.phase == phaseServed || c.phase == phaseEnded:
 		return false
+	case n > 0 && !c.headers.add(c.header, int64(n)):
+		if c.expired != nil {
+			c.expired(ExpiryMemory)
+		}
+		c.enter(phaseEnded)
+		_ = c.Conn.Close()
+		return false
 	case n > 0 && c.phase == phaseIdle:
+		c.header += int64(n)
 		c.enter(phaseHeader)
 		return false
-	case n > 0 || err == nil:
+	case n > 0:
+		c.header += int64(n)
+		return false
+	case err == nil:
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded) && !last:
 		return true
@@ -149,7 +168,7 @@
 	if last && c.closingAt.IsZero() && c.expired != nil {
 		c.expired(c.phase.expiry())
 	}
-	c.phase = phaseEnded
+	c.enter(phaseEnded)
 	_ = c.Conn.Close() // or net/http would answer a part of a header
 	return false
 }
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -125,3 +126,29 @@
 	}
 	t.Logf("%d answered, %d closed before the request was read", answered, closed)
 }
+
+// Guards against callers that send long headers slowly and together take the memory of the
+// process: the connection that exceeds the limit is closed, those with short headers are
+// served, and the memory is free once a header is complete or its connection has ended.
+func TestLongHeadersShareAMemoryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		first := startServer(t, noLimits, noop)
+		first.conns.SetHeaderMemory(10 << 10)
+		long := "GET / HTTP/1.1\r\nHost: h\r\nLong: " + strings.Repeat("a", 12<<10) // 8 KiB count
+		first.send(t, long)
+		second := first.connect(t)
+		_, err := io.WriteString(second.conn, long)
+		is.True(err != nil) // closed
+		first.connect(t).exchange(t)
+		first.send(t, "\r\n\r\n")
+		is.True(first.answered(t))
+		third := first.connect(t)
+		third.send(t, long)
+		is.NoErr(third.conn.Close())
+		synctest.Wait()
+		fourth := first.connect(t)
+		fourth.send(t, long+"\r\n\r\n")
+		is.True(fourth.answered(t))
+	})
+}
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -22,6 +22,7 @@
 type Conns struct {
 	limits  func() Limits
 	expired func(Expiry)
+	headers headerMemory
 
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState // of the open connections
@@ -34,6 +35,11 @@
 	return &Conns{limits: limits, expired: expired, states: make(map[net.Conn]http.ConnState)}
 }
 
+// SetHeaderMemory bounds the memory for headers of which only a part has been received, over
+// all connections together and without the first 4 KiB of each. A connection that exceeds
+// it is closed. 0, the default, means no bound.
+func (c *Conns) SetHeaderMemory(bytes int64) { c.headers.limit.Store(bytes) }
+
 // Listener returns a listener that wraps the connections of l in a Conn.
 func (c *Conns) Listener(l net.Listener) net.Listener { return &connListener{Listener: l, conns: c} }
 
@@ -48,7 +54,7 @@
 	if err != nil {
 		return nil, err // not wrapped: net/http checks for temporary errors and retries
 	}
-	return newConn(raw, l.conns.limits, l.conns.expired), nil
+	return newConn(raw, l.conns.limits, l.conns.expired, &l.conns.headers), nil
 }
 
 // StateChanged is the ConnState hook of the server.
--- a/internal/callerconn/harness_test.go
+++ b/internal/callerconn/harness_test.go
@@ -55,35 +55,40 @@
 
 // testServer is a server with one connection, of which it has the caller's end.
 type testServer struct {
-	http  *http.Server
-	conns *callerconn.Conns
-	gate  *gate
-	conn  net.Conn
-	in    *bufio.Reader
+	http     *http.Server
+	listener *pipeListener
+	conns    *callerconn.Conns
+	gate     *gate
+	conn     net.Conn
+	in       *bufio.Reader
 }
 
 func noLimits() callerconn.Limits { return callerconn.Limits{} }
 
 func startServer(t *testing.T, limits func() callerconn.Limits, handler http.HandlerFunc) *testServer {
 	t.Helper()
-	s := &testServer{conns: callerconn.NewConns(limits, nil)}
+	s := &testServer{conns: callerconn.NewConns(limits, nil), listener: &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}}
 	s.http = &http.Server{Handler: handler, ConnState: s.conns.StateChanged} //nolint:gosec // Conns limits the connections
-	l := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 	go func() {
-		if err := s.http.Serve(s.conns.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(s.conns.Listener(s.listener)); !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("serve: %v", err)
 		}
 	}()
+	t.Cleanup(func() { _ = s.http.Close() })
+	return s.connect(t)
+}
+
+// connect returns the server with another connection.
+func (s *testServer) connect(t *testing.T) *testServer {
+	t.Helper()
+	c := *s
 	serverEnd, callerEnd := net.Pipe()
-	s.gate = &gate{Conn: serverEnd, read: make(chan struct{}), release: make(chan struct{})}
-	s.conn, s.in = callerEnd, bufio.NewReader(callerEnd)
-	l.conns <- s.gate
+	c.gate = &gate{Conn: serverEnd, read: make(chan struct{}), release: make(chan struct{})}
+	c.conn, c.in = callerEnd, bufio.NewReader(callerEnd)
+	c.listener.conns <- c.gate
 	synctest.Wait()
-	t.Cleanup(func() {
-		_ = callerEnd.Close()
-		_ = s.http.Close()
-	})
-	return s
+	t.Cleanup(func() { _ = callerEnd.Close() })
+	return &c
 }
 
 func (s *testServer) send(t *testing.T, text string) {
--- a/internal/callerconn/limits.go
+++ b/internal/callerconn/limits.go
@@ -18,6 +18,8 @@
 const (
 	ExpiryIdle   Expiry = "idle"
 	ExpiryHeader Expiry = "header"
+	// ExpiryMemory is the bound on the memory for headers, see Conns.SetHeaderMemory.
+	ExpiryMemory Expiry = "memory"
 )
 
 // expiry returns the limit that applies in the phase.
--- a/node/memory.go
+++ b/node/memory.go
@@ -5,6 +5,9 @@
 const (
 	// exchangeMemoryShare is the share that requests in progress may hold.
 	exchangeMemoryShare = 0.46
+	// headerMemoryShare is the share that headers of which only a part has been received
+	// may hold at each of the servers, without the first 4 KiB of each.
+	headerMemoryShare = 0.02
 	// runtimeMemoryShare is the share up to which the Go runtime may use memory before it
 	// collects garbage in any case. The rest is for memory that the runtime does not
 	// manage, and for what is allocated while a collection runs.
@@ -14,5 +17,8 @@
 // exchangeBytes returns the memory for requests in progress.
 func (s *Settings) exchangeBytes() int64 { return int64(exchangeMemoryShare * float64(s.MemoryBytes)) }
 
+// headerBytes returns the memory for unfinished headers.
+func (s *Settings) headerBytes() int64 { return int64(headerMemoryShare * float64(s.MemoryBytes)) }
+
 // RuntimeBytes returns the memory limit for the Go runtime, for debug.SetMemoryLimit.
 func (s *Settings) RuntimeBytes() int64 { return int64(runtimeMemoryShare * float64(s.MemoryBytes)) }
--- a/node/node.go
+++ b/node/node.go
@@ -116,9 +116,11 @@
 
 // newConns returns the connections of one server.
 func (n *Node) newConns() *callerconn.Conns {
-	return callerconn.NewConns(
+	conns := callerconn.NewConns(
 		func() callerconn.Limits { return connectionLimits(n.fleet.View().Config) },
 		func(limit callerconn.Expiry) { n.metrics.ConnectionExpired(string(limit)) })
+	conns.SetHeaderMemory(n.options.Settings.headerBytes())
+	return conns
 }
 
 // viewChanged notifies the gateway of a new view and returns whether the instance is
--- a/node/reload.go
+++ b/node/reload.go
@@ -24,6 +24,9 @@
 	n.gateway.SetRetryBudget(s.retryBudget())
 	n.gateway.SetProbesPerTarget(s.Bounds.ProbesPerTarget)
 	n.gateway.SetMemoryBytes(s.exchangeBytes())
+	for _, server := range n.servers {
+		server.conns.SetHeaderMemory(s.headerBytes())
+	}
 	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance,
 		"seeds", len(seeds), "probes_per_target", s.Bounds.ProbesPerTarget, "memory_bytes", s.MemoryBytes)
 	if len(fixed) > 0 {
