platform: list when the answer to a watch is too long

Cause: answers of the store were cut after 4 MB and could then not be decoded. The protocol bounds a page of a listing, not an answer to a watch, and the reader repeated the same watch, whose answer only grew.

Change: an answer to a watch over 4 MB, or one that begins and does not arrive whole in time, ends in a listing, which has the latest values only. Memory is bounded as before. A listing is bounded in time for each page. Peers' records over their limit are an error that says so.

Ruled out: decoding that takes too long, calls that the store turns away.

--- a/fleet/message.go
+++ b/fleet/message.go
@@ -105,7 +105,10 @@
 func recordsFromMessage(s *peerapi.FleetState) ([]records.Record, error) {
 	messages := s.GetChanges()
 	if packed := s.GetPackedChanges(); len(packed) > 0 {
-		plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPlainBytes))
+		plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPlainBytes+1))
+		if err == nil && len(plain) > maxPlainBytes {
+			err = errors.Errorf("more than %d bytes", maxPlainBytes)
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "decompress records")
 		}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -26,8 +26,9 @@
 	// readers and stops reading without another call, even if the whole fleet has
 	// restarted.
 	firstWatchDelay = 600 * time.Millisecond
-	// listTimeout bounds a full listing.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds a full listing. It ends one that makes no end; the source bounds
+	// each page.
+	listTimeout = 20 * time.Second
 	// firstBackoff and maxBackoff bound the time between failed calls, before jitter,
 	// so that an instance notices within about half a second that the store is back.
 	firstBackoff = 40 * time.Millisecond
@@ -88,8 +89,8 @@
 }
 
 // callStore makes one call, a watch or, if r.mustList is set, a listing. A listing follows
-// at once if a watch cannot return all changes: the history is gone, or the store was
-// restored and the revision is one of an earlier era.
+// at once if a watch cannot return all changes: the history is gone, the changes are too
+// long, or the store was restored and the revision is one of an earlier era.
 func (r *reader) callStore(ctx context.Context) readResult {
 	result := readResult{full: r.mustList}
 	if r.mustList {
@@ -109,7 +110,7 @@
 	result.listing.Position = position
 	restored := result.err == nil && position.Era > r.position.Era && r.position.Revision > 0
 	switch {
-	case !r.mustList && (restored || errors.Is(result.err, ErrHistoryGone)):
+	case !r.mustList && (restored || errors.Is(result.err, ErrHistoryGone) || errors.Is(result.err, ErrTooManyChanges)):
 		r.mustList = true
 		return r.callStore(ctx)
 	case result.err == nil && position.Era < r.position.Era:
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -71,10 +71,12 @@
 	})
 }
 
-// scriptedSource answers each call with the next of its answers, and then waits.
+// scriptedSource answers each call with the next of its answers, and then waits. Its first
+// watch fails with an error if there is one.
 type scriptedSource struct {
 	answers []Listing
 	calls   []string
+	err     error
 }
 
 func (s *scriptedSource) answer(ctx context.Context, call string) (Listing, error) {
@@ -91,6 +93,11 @@
 func (s *scriptedSource) List(ctx context.Context) (Listing, error) { return s.answer(ctx, "list") }
 
 func (s *scriptedSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (Listing, error) {
+	if err := s.err; err != nil {
+		s.err = nil
+		s.calls = append(s.calls, "watch")
+		return Listing{}, err
+	}
 	return s.answer(ctx, "watch")
 }
 
@@ -152,3 +159,25 @@
 		is.Equal(source.waits[:4], []time.Duration{0, watchWait, 0, watchWait})
 	})
 }
+
+// Guards against a reader that repeats a watch whose response it can never read.
+func TestReaderListsChangesThatAreTooLong(t *testing.T) {
+	for _, err := range []error{ErrTooManyChanges, ErrHistoryGone} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			source := &scriptedSource{err: errors.Wrap(err, "watch"), answers: []Listing{{Position: records.Position{Era: 1, Revision: 9}}}}
+			ctx, cancel := context.WithCancel(t.Context())
+			begin := time.Now()
+			var results []readResult
+			r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, position: records.Position{Era: 1, Revision: 7},
+				deliver: func(result readResult) { results = append(results, result) }}
+			go r.run(ctx)
+			synctest.Wait()
+			is.Equal(source.calls, []string{"watch", "list", "watch"})
+			is.Equal(len(results), 1)
+			is.True(results[0].full && results[0].err == nil)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -14,6 +14,11 @@
 // given revision. The caller must list all records again.
 var ErrHistoryGone = errors.New("store no longer has the changes after the given revision")
 
+// ErrTooManyChanges is returned by Watch if the changes after the given revision are too
+// long to be read. The caller must list all records again: a listing has only the latest
+// value of each.
+var ErrTooManyChanges = errors.New("changes after the given revision are too long to be read")
+
 // Listing is a set of records or changes of one era, complete up to Position.
 type Listing struct {
 	Records  []records.Record
