A long body of a health response does not make a target silent

What callers would see: requests of a service are refused although its targets serve, because the bodies of their health responses are longer than 4 KiB.

A probe with a longer body counted as unanswered, although its head has all that counts.

Change: the rest of the body is not read and the connection is closed, in both programs.

Evidence: TestTargetWithLongHealthResponseIsUsed failed before.

--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// Guards against a target that counts as silent because the response to a probe has a long
+// body: its head says all that counts.
+func TestTargetWithLongHealthResponseIsUsed(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, "a", run)
+	target.healthBody = strings.Repeat("x", 100<<10)
+	f := start(t, target)
+	for range 3 {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+}
+
 // runReplaced is the target that has replaced another one: it rejects what names that one,
 // and runs everything else.
 func runReplaced(s *target, c net.Conn, r *http.Request, body []byte) bool {
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/placement"
@@ -28,7 +26,8 @@
 	// target with capacity. It doubles each time.
 	initialPause = 8 * time.Millisecond
 	maxPause     = 40 * time.Millisecond
-	// maxProbeBytes limits the body of a probe response.
+	// maxProbeBytes limits the part of the body of a probe response that is read. The
+	// connection is closed if there is more: what counts is in the head.
 	maxProbeBytes = 4 << 10
 )
 
@@ -191,7 +190,7 @@
 }
 
 // probe sends a probe and returns the response, whose body it has read. It fails if
-// no complete response arrives within probeTimeout. The probe names its target: another
+// no complete response, or one with maxProbeBytes, arrives within probeTimeout. The probe names its target: another
 // one that has got the address may have another path for probes, and would run it as a
 // request.
 func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, newConnection bool) (*http.Response, error) {
@@ -205,10 +204,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }() // an error only closes the connection
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes+1))
-	if err == nil && n > maxProbeBytes {
-		err = errors.Errorf("body of a probe response exceeds %d bytes", maxProbeBytes)
-	}
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	return response, err
 }
 
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -51,6 +51,8 @@
 	replaced atomic.Bool
 	load     atomic.Value // string
 	health   atomic.Int32 // status of probes
+	// healthBody is the body of the response to a probe.
+	healthBody string
 	// serve answers a request other than a probe, and reports whether the connection
 	// stays open.
 	serve func(t *target, conn net.Conn, r *http.Request, body []byte) bool
@@ -113,7 +115,7 @@
 		}
 		if r.URL.Path == "/health" && !s.replaced.Load() {
 			s.probes.Add(1)
-			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), "")
+			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), s.healthBody)
 			continue
 		}
 		s.mu.Lock()
--- a/transport/probe.go
+++ b/transport/probe.go
@@ -9,7 +9,8 @@
 	"github.com/dogwoodroute/dogwoodroute/wire"
 )
 
-// maxProbeBodyBytes limits the body of a probe response. The body is ignored.
+// maxProbeBodyBytes limits the part of the body of a probe response that is read. The body
+// is ignored, and the connection is closed if there is more.
 const maxProbeBodyBytes = 4 << 10
 
 // Probe requests a target's load report. The result is not OK if the probe fails,
@@ -24,8 +25,7 @@
 		return result
 	}
 	defer func() { _ = response.Body.Close() }()
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBodyBytes+1))
-	if err != nil || n > maxProbeBodyBytes || response.StatusCode != http.StatusOK {
+	if _, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBodyBytes)); err != nil || response.StatusCode != http.StatusOK {
 		return result
 	}
 	result.OK = true
