placement: keep what a target has said while its entry is away

What callers saw: requests to a target that had named a limit were too many for it.

Cause: the state of a target was dropped with its entry, though the target ran all the while.

Another incarnation starts without it.

Ruled out: a change of the limit's owners; the end of the limit by time.

--- a/placement/advice_test.go
+++ b/placement/advice_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 )
 
@@ -37,3 +38,54 @@
 		}
 	}
 }
+
+// Guards against advice that is forgotten while the entry of its target is away, and
+// against advice that another incarnation of the target inherits.
+func TestAdviceOutlivesTheEntry(t *testing.T) {
+	for name, advice := range map[string]placement.Advice{
+		"leaving": {Leaving: true},
+		"limit":   {Limited: true},
+		"pause":   {RetryAfter: time.Minute},
+	} {
+		for _, saidWhileAway := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				a, away := newTarget("a", "near"), 5*time.Second
+				p := newPlacer(a)
+				if !saidWhileAway {
+					p.Advised(1, a.Incarnation(), advice, placement.Exchange{})
+				}
+				p.SetTargets(2, nil)
+				if saidWhileAway { // in the response to a request that was sent before
+					p.Advised(3, a.Incarnation(), advice, placement.Exchange{})
+				}
+				is.Equal(p.HasTargets(service), false)
+				p.SetTargets(away, map[string][]*catalog.Target{service: {a}})
+				is.True(p.HeldBackFor(away, service) > 0)
+				restarted := *a
+				restarted.StartUnixMS++
+				p.SetTargets(away, map[string][]*catalog.Target{service: {&restarted}})
+				is.Equal(p.HeldBackFor(away, service), time.Duration(0))
+			})
+		}
+	}
+}
+
+// Guards against requests that count as in progress for ever because they ended while the
+// entry of their target was away.
+func TestRequestsThatEndWhileTheEntryIsAway(t *testing.T) {
+	is := is.New(t)
+	a := newTarget("a", "near")
+	p := newPlacer(a)
+	r := newRequest(1)
+	for range a.Slots {
+		p.Sent(1, a.Incarnation())
+	}
+	p.SetTargets(2, nil)
+	for range a.Slots {
+		p.Ended(3, a.Incarnation(), 1, r.Route, placement.Choice{}, placement.Outcome{})
+	}
+	p.SetTargets(4, map[string][]*catalog.Target{service: {a}})
+	_, ok := p.Choose(4, r, []placement.Report{report(a, 0, 0, 1)}, placement.RequireIdle) // of before the requests
+	is.True(ok)
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -21,6 +21,7 @@
 	// seed gives this instance its own order of targets.
 	seed      uint64
 	targets   map[catalog.Incarnation]*target
+	absent    absentTargets
 	services  map[string][]*target
 	routeWork map[string]*routeWork      // by route name
 	curves    map[string]*occupancyCurve // by service, learned
@@ -42,14 +43,17 @@
 // the call this instance takes the whole limit.
 func (p *Placer) SetShares(share ShareFunc) { p.share = share }
 
-// SetTargets replaces the targets that accept new requests, by service. The state
-// of incarnations that are in both the old and the new list is kept.
+// SetTargets replaces the targets that accept new requests, by service. The state of
+// incarnations that are in the list, or were in it before, is kept.
 func (p *Placer) SetTargets(now time.Duration, services map[string][]*catalog.Target) {
 	targets := make(map[catalog.Incarnation]*target)
 	p.services = make(map[string][]*target, len(services))
 	for name, list := range services {
 		for _, registered := range list {
 			t := p.targets[registered.Incarnation()]
+			if t == nil {
+				t = p.absent.take(registered.Incarnation())
+			}
 			if t == nil {
 				t = &target{warmUntil: now + registered.WarmupLeft}
 			}
@@ -59,9 +63,23 @@
 		}
 		slices.SortFunc(p.services[name], func(a, b *target) int { return cmp.Compare(p.order(a), p.order(b)) })
 	}
+	for id, t := range p.targets {
+		if targets[id] == nil {
+			p.absent.add(now, t)
+		}
+	}
+	p.absent.expire(now)
 	p.targets = targets
 }
 
+// target returns the state of a target, also if its entry is away, or nil if it is unknown.
+func (p *Placer) target(id catalog.Incarnation) *target {
+	if t := p.targets[id]; t != nil {
+		return t
+	}
+	return p.absent.get(id)
+}
+
 // order returns the sort key of a target. It is a hash seeded per instance, so
 // that each instance orders the targets differently.
 func (p *Placer) order(t *target) uint64 {
@@ -85,7 +103,7 @@
 // Probed records the result of a probe. It reports whether the target changed
 // between responsive and unresponsive.
 func (p *Placer) Probed(now time.Duration, id catalog.Incarnation, result ProbeResult) (changed bool) {
-	t := p.targets[id]
+	t := p.target(id)
 	if t == nil {
 		return false
 	}
@@ -103,7 +121,7 @@
 // Advised records what a target says in the response of an exchange. It reports whether
 // the target leaves or limits its requests from now on or no longer, or asks for a pause.
 func (p *Placer) Advised(now time.Duration, id catalog.Incarnation, a Advice, e Exchange) (changed bool) {
-	t := p.targets[id]
+	t := p.target(id)
 	if t == nil {
 		return false
 	}
@@ -127,7 +145,7 @@
 
 // Sent records that a request is sent to a target.
 func (p *Placer) Sent(now time.Duration, id catalog.Incarnation) {
-	if t := p.targets[id]; t != nil {
+	if t := p.target(id); t != nil {
 		t.sendTimes = append(t.sendTimes, now)
 		t.limit.take()
 		p.queue(t.Service).started(now)
@@ -154,7 +172,7 @@
 // Ended records the end of a request that was sent to a target at the time sent,
 // and updates the estimates with its outcome.
 func (p *Placer) Ended(now time.Duration, id catalog.Incarnation, sent time.Duration, route *catalog.Route, choice Choice, outcome Outcome) {
-	t := p.targets[id]
+	t := p.target(id)
 	if t == nil {
 		return
 	}
