fleet: wait for reports that are queued while a stop passes others on

What callers saw: nothing so far; a request that crashes targets could crash one more after an instance stopped.

Cause: the wait at the end of a stop asked for undelivered reports and then whether any were queued. A report that was added between the two was in neither, and ended with the instance.

Change: the queue is read first, so a report that has left it is in the list.

--- a/fleet/failure_reports_test.go
+++ b/fleet/failure_reports_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"context"
+	"log/slog"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
@@ -68,3 +72,32 @@
 	is.Equal(a.digest(2*later), b.digest(2*later))
 	is.Equal(len(a.missing(nil)), maxReportsPerSync)
 }
+
+// Guards against a flush that ends between the addition of a report to the list and the
+// look at it: an instance that stops would take the report with it.
+func TestFlushWaitsForReportsThatAreQueued(t *testing.T) {
+	task := New(Options{IP: netip.MustParseAddr("127.0.0.1"), Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return 0 }})
+	task.broadcastScheduled = true // no message leaves this task
+	task.roster.peers[netip.MustParseAddr("127.0.0.2")] = &peer{}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() { cancel(); <-task.loop.Done() }()
+	go task.loop.Run(ctx, time.Hour, func(time.Duration) {})
+	for n := range uint64(300) {
+		var delivered atomic.Bool
+		early := make(chan bool)
+		task.ReportFailure(quarantine.FailureReport{Target: n}, false)
+		go func() {
+			task.FlushReports(ctx)
+			early <- !delivered.Load()
+		}()
+		for added := false; !added; {
+			added, _ = owner.Call(ctx, task.loop, func(time.Duration) bool { return len(task.failureReports.list) == int(n)+1 })
+		}
+		time.Sleep(100 * time.Microsecond)
+		delivered.Store(true)
+		task.loop.Post(func(time.Duration) { task.failureReports.list[n].delivered = true })
+		if <-early {
+			t.Fatalf("the flush ended before report %d was delivered", n)
+		}
+	}
+}
--- a/fleet/reportsync.go
+++ b/fleet/reportsync.go
@@ -47,10 +47,11 @@
 // context ends. Without it a report would be lost with an instance that stops.
 func (t *Task) FlushReports(ctx context.Context) {
 	for ctx.Err() == nil {
+		queued := t.queuedReports.Load() // first: a report that is no longer queued must be seen by the call
 		undelivered, err := owner.Call(ctx, t.loop, func(time.Duration) bool {
 			return len(t.roster.peers) > 0 && t.failureReports.undelivered()
 		})
-		if err != nil || !undelivered && t.queuedReports.Load() == 0 {
+		if err != nil || !undelivered && queued == 0 {
 			return
 		}
 		backoff.Sleep(ctx, flushPollInterval)
