fleet: spread the calls to a store that fails

Cause, from the logs of all instances: when no reader has answers, all instances try within a second of each other, their calls all hang for 2.4 s if the store returns meanwhile, and then they all leave the store alone for three seconds. Only the first two readers went on; the store, back for a part of the machines, turned these two away.

Change: an instance that the store has failed calls again after a random time that grows with the fleet, six calls a second from all together, whatever their number. A call that only asks whether the store answers ends after 0.6 s at first, and later after up to 2.4 s.

Ruled out: measured processor time (from the store's answer to the last instance it takes 60 ms).

TestReaderNoticesTheReturnOfASilentStore failed before.

The test of the calls to a store that is down passes the new parameter; its check is the same.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -18,6 +18,10 @@
 	// watchGrace is how long after watchWait the answer may arrive. The store usually
 	// answers in 4 ms, but may take several hundred.
 	watchGrace = 900 * time.Millisecond
+	// firstCallTimeout bounds a call that only asks whether the store answers. It doubles
+	// with each failure, up to watchWait and watchGrace: a slow store still answers one, and
+	// a call that hangs since before the store's return does not delay the next one long.
+	firstCallTimeout = 600 * time.Millisecond
 	// batchInterval is the pause after an answer with changes, so that the changes
 	// that follow in quick succession cost one call. The first one is not delayed.
 	batchInterval = 150 * time.Millisecond
@@ -38,6 +42,9 @@
 	outageAfter = watchWait + watchGrace
 )
 
+// maxTimeoutDoublings is enough to reach the longest timeout.
+const maxTimeoutDoublings = 4
+
 // readResult is the result of one call to the store.
 type readResult struct {
 	listing Listing
@@ -58,6 +65,7 @@
 	deliver        func(readResult)
 	answered       time.Duration // when the last call succeeded, at first the start of the reader
 	failed         bool          // the last call failed
+	failures       int           // calls that failed since the store's last answer, also of earlier readers
 	answeredBefore bool          // a call has succeeded
 	lapsedUntil    time.Duration // removals before this time count as lapsed
 }
@@ -98,12 +106,13 @@
 		defer cancel()
 		result.listing, result.err = r.source.List(callContext)
 	} else {
-		callContext, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
-		defer cancel()
-		wait := watchWait
+		wait, timeout := watchWait, watchWait+watchGrace
 		if !r.answeredBefore || r.failed {
 			wait = 0 // to learn at once whether the store answers this instance, and in which era
+			timeout = min(timeout, firstCallTimeout<<min(r.failures, maxTimeoutDoublings))
 		}
+		callContext, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
 		result.listing, result.err = r.source.Watch(callContext, r.position.Revision, wait)
 	}
 	position := result.listing.Position.WithDefaultEra(r.position.Era)
@@ -118,13 +127,14 @@
 	}
 	if result.err != nil {
 		r.failed = true
+		r.failures++
 		return result
 	}
 	now := r.now()
 	if restored || r.failed && now-r.answered > outageAfter {
 		r.lapsedUntil = now + outageAfter
 	}
-	r.answered, r.failed, r.answeredBefore, r.mustList = now, false, true, false
+	r.answered, r.failed, r.failures, r.answeredBefore, r.mustList = now, false, 0, true, false
 	r.position = position
 	result.afterOutage = now < r.lapsedUntil
 	return result
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -181,3 +182,72 @@
 		})
 	}
 }
+
+// silentSource is a store that does not answer calls that begin before its return.
+type silentSource struct {
+	back  time.Time
+	calls int
+}
+
+func (s *silentSource) answer(ctx context.Context) (Listing, error) {
+	s.calls++
+	if time.Now().Before(s.back) {
+		<-ctx.Done()
+		return Listing{}, ctx.Err()
+	}
+	return Listing{Position: records.Position{Era: 1, Revision: 7}}, nil
+}
+
+func (s *silentSource) List(ctx context.Context) (Listing, error) { return s.answer(ctx) }
+
+func (s *silentSource) Watch(ctx context.Context, _ uint64, wait time.Duration) (Listing, error) {
+	listing, err := s.answer(ctx)
+	if err == nil {
+		backoff.Sleep(ctx, wait) // there are no changes
+	}
+	return listing, err
+}
+
+func (s *silentSource) Reset() {}
+
+// Guards against a reader that starts just before the store is back, and notices that only
+// when a call from before it has ended after seconds.
+func TestReaderNoticesTheReturnOfASilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begin := time.Now()
+		source := &silentSource{back: begin.Add(50 * time.Millisecond)}
+		ctx, cancel := context.WithCancel(t.Context())
+		var answeredAfter time.Duration
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, position: records.Position{Era: 1, Revision: 7},
+			deliver: func(result readResult) {
+				if result.err == nil && answeredAfter == 0 {
+					answeredAfter = time.Since(begin)
+				}
+			}}
+		go r.run(ctx)
+		time.Sleep(watchWait + watchGrace)
+		synctest.Wait()
+		is.True(answeredAfter > 0 && answeredAfter < time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against calls to a store that is only slow that always end too early.
+func TestReaderWaitsLongerForASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begin := time.Now()
+		source := &silentSource{back: begin.Add(time.Hour)}
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &reader{source: source, now: func() time.Duration { return time.Since(begin) }, position: records.Position{Era: 1, Revision: 7},
+			deliver: func(readResult) {}}
+		go r.run(ctx)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.True(source.calls < 30) // a call takes 2.4 s in the end
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -20,6 +20,11 @@
 	// takeoverStep is the additional wait per rank, so that instances that miss the same
 	// reader take over one at a time.
 	takeoverStep = 120 * time.Millisecond
+	// outageCallsPerSecond is the mean rate at which all instances together, but the first
+	// ones, call a store that has failed them. The store may be back for some of them only,
+	// so the calls come from all in turn; that they all come at once would leave a gap of
+	// seconds after it.
+	outageCallsPerSecond = 6.0
 	// startDelay and startJitter bound the time that a starting instance, which has no
 	// records, gives peers to answer before it reads the store. Peers answer within a few
 	// milliseconds. A longer delay would keep callers waiting everywhere when the whole
@@ -98,9 +103,17 @@
 	return ahead >= wantedReaders
 }
 
+// outageCallDelay returns the time until an instance that the store has failed calls it
+// again, if no reader has answers.
+func (r *roster) outageCallDelay() time.Duration {
+	mean := float64(len(r.peers)+1) / outageCallsPerSecond
+	return time.Duration(2 * rand.Float64() * mean * float64(time.Second))
+}
+
 // shouldRead reports whether this instance is to read the store now. silence is the time
-// since the last heartbeat of a reader with recent answers from the store.
-func (r *roster) shouldRead(now, silence time.Duration) bool {
+// since the last heartbeat of a reader with recent answers from the store. callDue is false
+// until outageCallDelay has passed since the store failed this instance.
+func (r *roster) shouldRead(now, silence time.Duration, callDue bool) bool {
 	if silence <= r.readerTimeout() && r.enoughReadersAhead(now) {
 		return false
 	}
@@ -113,9 +126,9 @@
 		return true
 	}
 	if r.self.State.Has(StoreFailed) {
-		return false // only the first ones keep trying: calls have a price and share a rate limit
+		return callDue && silence > r.readerTimeout() // only the first ones keep trying: calls have a price and share a rate limit
 	}
-	return silence > r.readerTimeout()+time.Duration(rank)*takeoverStep
+	return callDue && silence > r.readerTimeout()+time.Duration(rank)*takeoverStep
 }
 
 // readerTimeout returns the longest time that a reader's heartbeat may take to arrive.
--- a/fleet/readers_test.go
+++ b/fleet/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,10 +29,10 @@
 	readers, stepIn := 0, 0
 	for self := range n {
 		r := newTestRoster(self, n)
-		if r.shouldRead(0, 0) {
+		if r.shouldRead(0, 0, true) {
 			readers++
 		}
-		if r.shouldRead(0, r.readerTimeout()+takeoverStep*5/2) {
+		if r.shouldRead(0, r.readerTimeout()+takeoverStep*5/2, true) {
 			stepIn++
 		}
 	}
@@ -51,7 +52,7 @@
 		for _, p := range r.peers {
 			p.State |= StoreFailed
 		}
-		if r.shouldRead(0, time.Hour) {
+		if r.shouldRead(0, time.Hour, false) {
 			trying++
 		}
 	}
@@ -68,6 +69,31 @@
 		for _, p := range r.peers {
 			p.State |= StoreFailed
 		}
-		is.True(r.shouldRead(0, 0)) // this instance is the only one that the store answers
+		is.True(r.shouldRead(0, 0, true)) // this instance is the only one that the store answers
+	}
+}
+
+// Guards against calls to a store that is down that grow with the fleet, and against gaps
+// between them in which the store may be back without being noticed.
+func TestCallsToAStoreThatIsDownAreSpread(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{5, 20, 200} {
+		const begin, end = 300 * time.Second, 400 * time.Second
+		var calls []time.Duration
+		for self := range n {
+			r := newTestRoster(self, n)
+			r.self.State |= StoreFailed
+			for at := time.Duration(0); at < end; at += r.outageCallDelay() {
+				if at >= begin && r.shouldRead(0, time.Hour, true) {
+					calls = append(calls, at)
+				}
+			}
+		}
+		perSecond := float64(len(calls)) / (end - begin).Seconds()
+		is.True(perSecond > outageCallsPerSecond/2 && perSecond < 1.5*outageCallsPerSecond)
+		slices.Sort(calls)
+		for i := range calls[1:] {
+			is.True(calls[i+1]-calls[i] < 2500*time.Millisecond)
+		}
 	}
 }
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -57,6 +57,8 @@
 	storeAnsweredAt    time.Duration      // time of the store's last answer
 	storeFailedAt      time.Duration      // time of the last failed call since the last answer, 0 if none
 	storeFailing       bool               // the last call to the store failed
+	storeFailures      int                // calls that failed since the store's last answer
+	storeCallAfter     time.Duration      // earliest time of the next call if the store has failed and others read first
 	lastContact        time.Duration      // time of the last successful exchange, of either side
 	nextRound          time.Duration
 	round              int
@@ -174,7 +176,7 @@
 	t.setFlag(Reading, t.stopReader != nil && t.storeAnsweredAt > 0 && now-t.storeAnsweredAt <= outageAfter && !t.storeFailing)
 	t.setFlag(StoreFailed, t.storeFailedAt > 0 && now-t.storeFailedAt < storeFailedFor)
 	silence := now - max(t.started, t.roster.lastReaderHeartbeat())
-	shouldRead := now >= t.readNotBefore && (t.set.Empty() || t.roster.shouldRead(now, silence))
+	shouldRead := now >= t.readNotBefore && (t.set.Empty() || t.roster.shouldRead(now, silence, t.storeFailures == 0 || now >= t.storeCallAfter))
 	if noReader := silence > t.roster.readerTimeout() && t.stopReader == nil; noReader != t.noReader {
 		t.noReader = noReader
 		t.options.Log.Info("heartbeats of store readers", "heard", !noReader, "silence_ms", silence.Milliseconds())
@@ -193,7 +195,7 @@
 	ctx, cancel := context.WithCancel(t.context)
 	t.stopReader, t.storeFailing = cancel, false
 	t.options.Log.Info("start reading the store", "era", t.set.Position().Era, "revision", t.set.Position().Revision)
-	r := &reader{source: t.options.Source, now: t.options.Now, position: t.set.Position(), answered: t.options.Now()}
+	r := &reader{source: t.options.Source, now: t.options.Now, position: t.set.Position(), answered: t.options.Now(), failures: t.storeFailures}
 	r.deliver = func(result readResult) {
 		t.loop.Post(func(now time.Duration) {
 			if ctx.Err() == nil {
@@ -211,6 +213,8 @@
 			t.options.Log.Warn("store does not answer, retrying", "error", result.err.Error(), "answered_ms_ago", (now - t.storeAnsweredAt).Milliseconds())
 		}
 		t.storeFailing, t.storeFailedAt = true, now
+		t.storeFailures++
+		t.storeCallAfter = now + t.roster.outageCallDelay()
 		t.updateReader(now)
 		return
 	}
@@ -218,7 +222,7 @@
 		t.options.Log.Info("store answers again", "era", result.listing.Position.Era, "revision", result.listing.Position.Revision,
 			"down_ms", (now - t.storeAnsweredAt).Milliseconds())
 	}
-	t.storeFailing, t.storeFailedAt, t.storeAnsweredAt = false, 0, now
+	t.storeFailing, t.storeFailedAt, t.storeAnsweredAt, t.storeFailures = false, 0, now, 0
 	before := t.set.Position()
 	var changed []records.Record
 	if result.full {
