--- a/membership/task_test.go
+++ b/membership/task_test.go
@@ -119,9 +119,37 @@
 		bytes/uint64(seconds), payload/uint64(seconds), float64(messages)/float64(seconds))
 	is.True(messages > uint64(seconds)*12) // the rounds did take place
 	is.True(bytes < budget*uint64(seconds))
+	if len(d.tasks[0].View().Members) != 20 {
+		d.logMissing()
+	}
 	is.Equal(len(d.tasks[0].View().Members), 20)
 }
 
+// logMissing logs, for each task, the members that are not live and the state of its
+// connections to them, which explain why.
+func (d *steppedFleet) logMissing() {
+	for _, task := range d.tasks {
+		logged := make(chan struct{})
+		task.post(func(now time.Duration) {
+			defer close(logged)
+			for _, o := range task.members.members {
+				if o.liveness(now) == Alive {
+					continue
+				}
+				state := "none"
+				task.clients.mu.Lock()
+				if connection := task.clients.connections[o.PeerAddress]; connection != nil {
+					state = connection.GetState().String()
+				}
+				task.clients.mu.Unlock()
+				d.t.Logf("%s misses %s: silent for %v, exchange until %v, now %v, connection %s", task.options.Self.ID, o.ID,
+					now-o.silentSince, o.busyUntil, now, state)
+			}
+		})
+		<-logged
+	}
+}
+
 // Guards against calls that cross a simulated partition in either direction, and
 // against calls that succeed although their handler is not set.
 func TestRequests(t *testing.T) {
