--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -46,7 +46,7 @@
 	f.IntVar(&flags.Instances, "instances", 6, "number of processes")
 	f.IntVar(&flags.Targets, "targets", 12, "number of fake targets")
 	f.IntVar(&flags.Callers, "callers", 40, "number of callers")
-	f.DurationVar(&flags.Planned, "planned", 6*time.Second, "duration of the phase with planned work only")
+	f.DurationVar(&flags.Planned, "planned", 14*time.Second, "duration of the phase with planned work only")
 	f.DurationVar(&flags.Faults, "faults", 12*time.Second, "duration of the phase with faults")
 	f.BoolVar(&flags.CheckTimeBounds, "timed", true, "also check the invariants with a time limit")
 	f.BoolVar(&flags.keep, "keep", false, "keep the logs of all runs")
@@ -81,7 +81,7 @@
 
 func soakText(r *soak.Result) string {
 	var b strings.Builder
-	_, _ = fmt.Fprintf(&b, "seed %d: %d requests, %d served, %d arrivals at targets;", r.Seed, r.Requests, r.Served, r.Runs)
+	_, _ = fmt.Fprintf(&b, "seed %d: %d requests, %d served, %d arrivals at targets, %d stalls of the machine;", r.Seed, r.Requests, r.Served, r.Runs, r.Stalls)
 	for _, name := range slices.Sorted(maps.Keys(r.Events)) {
 		_, _ = fmt.Fprintf(&b, " %s %d,", name, r.Events[name])
 	}
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -48,6 +48,10 @@
 }
 
 func (f *flags) run(ctx context.Context) error {
+	// First of all: a signal without a handler ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	log := eventlog.New(os.Stdout)
 	defer log.Close()
 	logger := log.Logger(slog.LevelInfo)
@@ -71,9 +75,6 @@
 	if err != nil {
 		return errors.Wrap(err, "create instance")
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ended := make(chan struct{})
 	defer close(ended)
 	go (&supervisor{node: n, store: store, settingsPath: path, identity: identity, log: logger}).watch(signals, ended)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -29,12 +29,20 @@
 	dialTimeout = 500 * time.Millisecond
 )
 
-// routes lists the routes that callers use and whether their requests are
-// idempotent. Reconfigurations add and remove extraRoute, which callers do not use.
-var routes = []struct {
+// routes lists the routes of each configuration. Callers use ordinaryRoutes; slowRoute is
+// for requests that run long. Reconfigurations change ordinaryRoutes, and add and remove
+// extraRoute.
+var (
+	routes         = []routeOptions{{"read", true, requestTimeout}, {"write", false, requestTimeout}, slowRoute}
+	ordinaryRoutes = routes[:2]
+	slowRoute      = routeOptions{"slow", false, slowTimeout}
+)
+
+type routeOptions struct {
 	name       string
 	idempotent bool
-}{{"read", true}, {"write", false}}
+	timeout    time.Duration
+}
 
 // caller sends requests one after the other over one persistent connection, as
 // production callers do. It is not safe for concurrent use.
@@ -58,7 +66,7 @@
 		if c.conn == nil && !c.connect(ctx) {
 			continue
 		}
-		route := routes[c.random.IntN(len(routes))]
+		route := ordinaryRoutes[c.random.IntN(len(ordinaryRoutes))]
 		c.sendRequest(route.name, route.idempotent)
 	}
 }
@@ -125,6 +133,13 @@
 func (c *caller) send(req *request) int {
 	c.recorder.addRequest(req)
 	response, body, err := c.exchange(req)
+	c.recordResponse(req, response, body, err)
+	return req.status
+}
+
+// recordResponse records the outcome of a request, and closes the connection unless it may
+// be used again.
+func (c *caller) recordResponse(req *request, response *http.Response, body string, err error) {
 	keep := err == nil && !response.Close
 	c.recorder.update(func() {
 		req.endedAt = c.fleet.now()
@@ -140,24 +155,33 @@
 	if !keep {
 		c.closeConnection()
 	}
-	return req.status
 }
 
 func (c *caller) exchange(req *request) (*http.Response, string, error) {
-	if err := c.conn.SetDeadline(time.Now().Add(responseTimeout)); err != nil {
+	if err := c.conn.SetDeadline(time.Now().Add(max(responseTimeout, req.timeout+time.Second))); err != nil {
 		return nil, "", err
 	}
-	header := http.Header{c.dialect.RequestID: {req.id}, c.dialect.Deadline: {strconv.FormatInt(req.timeout.Milliseconds(), 10)}}
-	var text strings.Builder
-	_, _ = fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.method, req.path, host) // writing to a strings.Builder never fails
-	_ = header.Write(&text)
+	text := c.headerText(req)
 	if req.body != "" {
-		_, _ = fmt.Fprintf(&text, "Content-Length: %d\r\n", len(req.body))
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(req.body))
 	}
-	text.WriteString("\r\n" + req.body)
-	if _, err := io.WriteString(c.conn, text.String()); err != nil {
+	if _, err := io.WriteString(c.conn, text+"\r\n"+req.body); err != nil {
 		return nil, "", err
 	}
+	return c.readResponse(req)
+}
+
+// headerText returns the request line and the header of a request, without the length of
+// its body.
+func (c *caller) headerText(req *request) string {
+	header := http.Header{c.dialect.RequestID: {req.id}, c.dialect.Deadline: {strconv.FormatInt(req.timeout.Milliseconds(), 10)}}
+	var text strings.Builder
+	_, _ = fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.method, req.path, host) // writing to a strings.Builder never fails
+	_ = header.Write(&text)
+	return text.String()
+}
+
+func (c *caller) readResponse(req *request) (*http.Response, string, error) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: req.method})
 	if err != nil {
 		return nil, "", err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -95,6 +95,9 @@
 		requests[req.id] = req
 	}
 	for _, r := range e.recorder.arrivals {
+		if r.rejected && isHealthPath(r.path) {
+			continue // a probe of a target that is gone, which did not run
+		}
 		if req := requests[r.id]; req == nil || req.method != r.method || req.path != r.path || req.body != r.body {
 			violations = append(violations, fmt.Sprintf("%s %s %s at %s", r.id, r.method, r.path, r.target))
 		}
@@ -102,6 +105,10 @@
 	return violations
 }
 
+func isHealthPath(path string) bool {
+	return path == healthPaths[services[0]] || path == healthPaths[services[1]]
+}
+
 func (e *evidence) duplicateExecutions() (violations []string) {
 	for _, req := range e.requests {
 		if ran := e.executions(req.id); !req.idempotent && len(ran) > 1 {
@@ -224,11 +231,10 @@
 }
 
 // faultFree reports whether no fault was active between from and to or within
-// recoveryTime before from. Planned work is not a fault.
+// recoveryTime before from. Planned work is not a fault; a stall of the machine is.
 func (e *evidence) faultFree(from, to time.Duration) bool {
-	return !slices.ContainsFunc(e.faultWindows, func(d faultWindow) bool {
-		return !d.planned && d.from <= to && d.to+recoveryTime >= from
-	})
+	active := func(d faultWindow) bool { return !d.planned && d.from <= to && d.to+recoveryTime >= from }
+	return !slices.ContainsFunc(e.faultWindows, active) && !slices.ContainsFunc(e.stalls, active)
 }
 
 func (e *evidence) executionsAfterDrain() (violations []string) {
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -31,7 +31,7 @@
 	done.Go(func() {
 		backoff.Sleep(ctx, f.options.Planned)
 		c := f.newCaller(f.options.Callers + f.options.Instances) // after those of converge
-		route := routes[c.random.IntN(len(routes))]
+		route := ordinaryRoutes[c.random.IntN(len(ordinaryRoutes))]
 		for ctx.Err() == nil {
 			status := c.sendCrashingRequest(ctx, route.name, route.idempotent)
 			if route.idempotent && status != http.StatusServiceUnavailable { // as callers do, to another instance
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -34,6 +34,9 @@
 	{"settings", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.anyInstance(r).reload(r) }},
 	{"drain and return", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.drain(ctx, f.anyTarget(r), r) }},
 	{"configuration", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.reconfigure(r) }},
+	{"late requests in a stop", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.lateRequests(ctx, f.anyInstance(r)) }},
+	{"long configurations in a burst", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.burst(ctx, r) }},
+	{"long bodies", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.longBodies(ctx, f.anyInstance(r), r) }},
 	{"kill", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		i := f.anyInstance(r)
 		i.signal(syscall.SIGKILL)
@@ -71,6 +74,14 @@
 		backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
 		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{} })
 	}},
+	{"target answers without end", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
+		t := f.anyTarget(r)
+		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{endless: 0.2 + 0.8*r.Float64()} })
+		backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
+		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{} })
+	}},
+	{"entry lapses", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.lapse(ctx, f.anyTarget(r), r) }},
+	{"seeds out of date", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.staleSeeds(ctx, r) }},
 	{"target names a limit", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.nameLimit(ctx, f.anyTarget(r), r) }},
 	{"target asks for pauses", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		t := f.anyTarget(r)
@@ -158,6 +169,24 @@
 	f.recorder.addLimit(named)
 }
 
+// lapse lets the entry of a target that names a limit expire for a moment, as if it was cut
+// off from the store, while it serves requests.
+func (f *fleet) lapse(ctx context.Context, t *target, r *rand.Rand) {
+	t.eventLock.Lock()
+	defer t.eventLock.Unlock()
+	named := namedLimit{target: t.currentEntry().ID, perSecond: 0.5 + 2*r.Float64(), from: f.now()}
+	t.setSaid(advice{perSecond: named.perSecond}, true)
+	backoff.Sleep(ctx, recoveryTime+time.Second)
+	f.store.DeleteTarget(named.target) // shorter than drainLimit, so it is no departure
+	backoff.Sleep(ctx, randomDuration(r, drainLimit*3/4))
+	t.update(func(*catalog.Target, *behaviour) {})
+	f.publish(t)
+	backoff.Sleep(ctx, limitWindow)
+	named.to = f.now()
+	t.setSaid(advice{}, false)
+	f.recorder.addLimit(named)
+}
+
 // restoreStore takes the store down and brings it back with a copy of some seconds ago.
 // The operators and the targets then write their entries again, and the entries of
 // targets that have left since are removed.
@@ -225,7 +254,7 @@
 func (f *fleet) reconfigure(r *rand.Rand) {
 	f.configLock.Lock()
 	defer f.configLock.Unlock()
-	route := &f.config.Routes[r.IntN(len(routes))]
+	route := &f.config.Routes[r.IntN(len(ordinaryRoutes))]
 	switch r.IntN(4) {
 	case 0:
 		route.Services = []catalog.WeightedService{{Service: services[r.IntN(len(services))], Weight: 1}}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
@@ -23,9 +24,12 @@
 	recorder   *recorder
 	store      *platformtest.Store
 	instances  []*instance
+	seeds      []string // of the instances, at the start
 	targets    []*target
 	client     *http.Client
+	callers    atomic.Int64 // used for the numbers of callers of events
 	configLock sync.Mutex
+	seedsLock  sync.Mutex
 	config     catalog.Config
 }
 
@@ -51,9 +55,9 @@
 		f.targets = append(f.targets, t)
 		f.publish(t)
 	}
-	seeds := []string{n.address(instanceSubnet, 0, peerPort), n.address(instanceSubnet, o.Instances-1, peerPort)}
+	f.seeds = []string{n.address(instanceSubnet, 0, peerPort), n.address(instanceSubnet, o.Instances-1, peerPort)}
 	for number := range o.Instances {
-		i, err := newInstance(n, o, number, seeds, f.store.Address())
+		i, err := newInstance(n, o, number, f.seeds, f.store.Address())
 		if err != nil {
 			f.close()
 			return nil, err
@@ -63,12 +67,12 @@
 	}
 	f.config = catalog.Config{Version: 1, Services: make(map[string]catalog.Service)}
 	for _, name := range services {
-		f.config.Services[name] = catalog.Service{Name: name, HealthPath: healthPath, MaxConnections: 1000}
+		f.config.Services[name] = catalog.Service{Name: name, HealthPath: healthPaths[name], MaxConnections: 1000}
 	}
 	for number, r := range routes {
 		f.config.Routes = append(f.config.Routes, catalog.Route{Name: r.name, Host: host, Prefix: "/" + r.name + "/",
 			Services: []catalog.WeightedService{{Service: services[number%len(services)], Weight: 1}}, Idempotent: r.idempotent,
-			Timeout: requestTimeout, Objective: requestTimeout / 4, Rank: number, MaxAttempts: 3})
+			Timeout: r.timeout, Objective: r.timeout / 4, Rank: number, MaxAttempts: 3})
 	}
 	f.putConfig()
 	return f, nil
@@ -107,7 +111,7 @@
 func (f *fleet) putConfig() {
 	f.config.Version += 1 + f.config.Version%3
 	named := make(map[string][]string)
-	for _, r := range f.config.Routes {
+	for _, r := range f.config.Routes[:min(len(f.config.Routes), len(routes)+1)] { // without those that no caller uses
 		for _, p := range r.Services {
 			named[r.Name] = append(named[r.Name], p.Service)
 		}
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,7 +26,7 @@
 	logPath      string
 	callerProxy  *proxy // between callers and the instance
 	storeProxy   *proxy // between the instance and the store
-	// disturbed is called when the process is started or gets a signal.
+	// disturbed is called when the process is started or gets a signal other than SIGHUP.
 	disturbed func()
 
 	mu            sync.Mutex
@@ -58,8 +59,14 @@
 	return i, i.writeSettings()
 }
 
+// writeSettings replaces the settings file at once, so that no process reads a part of it.
 func (i *instance) writeSettings() error {
-	if err := os.WriteFile(i.settingsPath, platformtest.SettingsText(i.settings), 0o600); err != nil {
+	next := i.settingsPath + ".next"
+	err := os.WriteFile(next, platformtest.SettingsText(i.settings), 0o600)
+	if err == nil {
+		err = os.Rename(next, i.settingsPath)
+	}
+	if err != nil {
 		return errors.Wrapf(err, "write settings of %s", i.settings.ID)
 	}
 	return nil
@@ -87,9 +94,37 @@
 	i.disturbed()
 	i.command, i.exited, i.stopRequested, i.killed = command, make(chan struct{}), false, false
 	go i.waitForExit(command, log, i.exited)
+	go i.watchMemory(command.Process.Pid, i.exited)
 	return nil
 }
 
+// memoryInterval is the time between two looks at the memory of a process.
+const memoryInterval = 5 * time.Millisecond
+
+// watchMemory records a violation if the process exceeds its memory limit, as the platform
+// would then kill it.
+func (i *instance) watchMemory(pid int, exited <-chan struct{}) {
+	ticker := time.NewTicker(memoryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-exited:
+			return
+		case <-ticker.C:
+		}
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		_, text, _ := strings.Cut(string(status), "RssAnon:")
+		var kilobytes int64
+		if _, scanErr := fmt.Sscan(text, &kilobytes); err != nil || scanErr != nil {
+			return // the process has ended
+		}
+		if kilobytes<<10 > i.settings.MemoryBytes {
+			i.addViolation(fmt.Sprintf("a process keeps to its memory: %s has %d KiB", i.settings.ID, kilobytes))
+			return
+		}
+	}
+}
+
 // waitForExit waits for the end of the process and records a violation if it ended
 // unrequested, or with an error after SIGTERM.
 func (i *instance) waitForExit(command *exec.Cmd, log *os.File, exited chan struct{}) {
@@ -114,6 +149,10 @@
 	if i.command == nil {
 		return
 	}
+	if s == syscall.SIGHUP { // must not disturb anything
+		_ = i.command.Process.Signal(s) // fails only when the process has ended
+		return
+	}
 	i.stopRequested = i.stopRequested || s == syscall.SIGTERM || s == syscall.SIGKILL
 	i.killed = i.killed || s == syscall.SIGKILL
 	i.disturbed()
@@ -121,10 +160,14 @@
 }
 
 // stop stops the process as the platform does: it sends SIGTERM, and SIGKILL if the
-// process has not ended after stopTimeout. It reports whether SIGTERM sufficed.
+// process has not ended after the shutdown timeout of its settings. It reports whether
+// SIGTERM sufficed.
 func (i *instance) stop() bool {
+	i.mu.Lock()
+	limit := i.settings.Bounds.ShutdownTimeout
+	i.mu.Unlock()
 	i.signal(syscall.SIGTERM)
-	return i.waitOrKill(stopTimeout)
+	return i.waitOrKill(limit)
 }
 
 // waitOrKill waits for the end of the process and kills it after the limit. It
@@ -149,14 +192,20 @@
 
 // reload writes new settings with a random retry allowance and sends SIGHUP.
 func (i *instance) reload(r *rand.Rand) {
+	i.changeSettings(func(s *node.Settings) { s.Bounds.RetryAllowance = float64(retryAllowance - r.IntN(10)) })
+	i.signal(syscall.SIGHUP)
+}
+
+// changeSettings writes changed settings. The process notices them within seconds, or at
+// once with SIGHUP.
+func (i *instance) changeSettings(change func(*node.Settings)) {
 	i.mu.Lock()
-	i.settings.Bounds.RetryAllowance = float64(retryAllowance - r.IntN(10))
+	change(i.settings)
 	err := i.writeSettings()
 	i.mu.Unlock()
 	if err != nil {
 		i.addViolation(err.Error())
 	}
-	i.signal(syscall.SIGHUP)
 }
 
 // addViolation records a violation by the process itself, such as a failed start.
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -34,7 +34,12 @@
 	retryWindow     = 10 * time.Second
 	retryAllowance  = 75
 	probesPerTarget = 60
-	memoryBytes     = 219 << 20
+	memoryBytes     = 128 << 20
+	// longStopTimeout replaces stopTimeout in a stop with late requests, and slowTimeout is
+	// the time-out of slowRoute: a request may be sent in the first half of the stop and
+	// end after it.
+	longStopTimeout = 10 * time.Second
+	slowTimeout     = 6 * time.Second
 	// drainLimit is the longest time from a target's departure in the store to the
 	// last request that it receives.
 	drainLimit = 2 * time.Second
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -48,7 +48,7 @@
 	planned bool
 }
 
-// disturbance is a time at which an instance was started or got a signal.
+// disturbance is a time at which an instance was started or got a signal other than SIGHUP.
 type disturbance struct {
 	instance string
 	at       time.Duration
@@ -68,6 +68,7 @@
 	requests     []*request
 	arrivals     []*arrival
 	faultWindows []faultWindow
+	stalls       []faultWindow // times in which this process did not run
 	departures   []departure
 	disturbances []disturbance
 	limits       []namedLimit
@@ -106,6 +107,12 @@
 	rec.faultWindows = append(rec.faultWindows, d)
 }
 
+func (rec *recorder) addStall(s faultWindow) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.stalls = append(rec.stalls, s)
+}
+
 func (rec *recorder) addDeparture(target string, at time.Duration) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,6 +28,8 @@
 	// Requests is the number of requests that callers sent, Served the number of
 	// responses with status 200, and Runs the number of arrivals at targets.
 	Requests, Served, Runs int
+	// Stalls counts the times at which the machine did not run this process for stallGap.
+	Stalls int
 	// Events counts the injected events by kind.
 	Events map[string]int
 	// Violations describes each violated invariant with its first case.
@@ -47,6 +49,9 @@
 	}
 	defer f.close()
 	f.startAll()
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go f.watchStalls(watching)
 	violations := f.notReady(ctx, "at the start")
 	for _, i := range f.instances {
 		i.settings.FirstStart = false
@@ -94,6 +99,12 @@
 		random: rand.New(rand.NewPCG(f.options.Seed, uint64(1000+number)))}
 }
 
+// newEventCaller returns a caller for one event, with a number of its own.
+func (f *fleet) newEventCaller() *caller {
+	// after those of converge and the one with the request that crashes targets
+	return f.newCaller(f.options.Callers + f.options.Instances + int(f.callers.Add(1)))
+}
+
 // converge sends requests to each instance until it serves both routes and has
 // the newest configuration in force. It returns a violation for each check that
 // does not pass within readyTimeout.
@@ -133,7 +144,7 @@
 	f.recorder.mu.Lock()
 	defer f.recorder.mu.Unlock()
 	e := f.recorder.evidence()
-	r := &Result{Seed: f.options.Seed, Requests: len(e.requests), Runs: len(e.recorder.arrivals), Events: make(map[string]int)}
+	r := &Result{Seed: f.options.Seed, Requests: len(e.requests), Runs: len(e.recorder.arrivals), Stalls: len(e.stalls), Events: make(map[string]int)}
 	for _, req := range e.requests {
 		if req.status == http.StatusOK {
 			r.Served++
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -22,7 +23,6 @@
 )
 
 const (
-	healthPath  = "/health"
 	targetSlots = 8
 	// Service times are drawn between minWork and maxWork; on average one request in
 	// tailEvery takes tailFactor times as long.
@@ -33,10 +33,18 @@
 	// hangDuration is how long a hanging target keeps a request before it closes the
 	// connection.
 	hangDuration = 5 * time.Second
+	// slowWork is the service time of requests on slowRoute.
+	slowWork = 5400 * time.Millisecond
+	// endlessPiece is the size of the pieces of a response without end, in bytes.
+	endlessPiece = 64 << 10
 	// maxResponsePadding limits the padding of response bodies, in bytes.
 	maxResponsePadding = 3000
 )
 
+// healthPaths are the paths of probes by service. A target runs a request on the path of the
+// other service like any other.
+var healthPaths = map[string]string{services[0]: "/health", services[1]: "/alive"}
+
 // behaviour is the set of faults that a target applies. Except for slowdown, each
 // value is the share of requests that meet the fault. The zero value is normal.
 type behaviour struct {
@@ -47,6 +55,8 @@
 	// fail runs the request and responds with 500; reject responds with 503 and
 	// reports that the request was not run.
 	fail, reject float64
+	// endless runs the request and responds with a body that does not end.
+	endless float64
 	// hang keeps the request for hangDuration without a response.
 	hang float64
 	// slowdown is a factor on the service time; 0 means 1.
@@ -123,10 +133,12 @@
 	id := r.Header.Get(t.dialect.RequestID)
 	w.Header().Set(t.dialect.RequestID, id)
 	w.Header().Set(t.dialect.Load, t.loadHeader(b))
-	if r.URL.Path != healthPath || !hide {
+	isProbe := r.URL.Path == healthPaths[entry.Service]
+	if !isProbe || !hide {
 		platformtest.SetAdvice(w.Header(), placement.Advice{Leaving: said.leaving, PerSecond: said.perSecond, Limited: said.perSecond > 0})
 	}
-	if r.URL.Path == healthPath {
+	expected := r.Header.Get(t.dialect.ExpectedTarget)
+	if isProbe && (expected == "" || expected == entry.ID) {
 		w.Header().Set(t.dialect.TargetID, entry.ID)
 		return
 	}
@@ -134,7 +146,7 @@
 	if err != nil {
 		return // an incomplete request does not run
 	}
-	arrival := &arrival{id: id, method: r.Method, path: r.URL.RequestURI(), body: string(body), target: entry.ID,
+	arrival := &arrival{id: id, method: r.Method, path: r.URL.RequestURI(), body: recordedBody(body), target: entry.ID,
 		service: entry.Service, arrivedAt: t.now(), remaining: -1}
 	if ms, err := strconv.Atoi(r.Header.Get(t.dialect.Deadline)); err == nil {
 		arrival.remaining = time.Duration(ms) * time.Millisecond
@@ -143,7 +155,7 @@
 	draw := rand.Float64()
 	taken := func(share float64) bool { draw -= share; return draw < 0 }
 	switch {
-	case r.Header.Get(t.dialect.ExpectedTarget) != entry.ID:
+	case expected != "" && expected != entry.ID:
 		t.reject(w, arrival, http.StatusMisdirectedRequest)
 	case isCrashing(arrival.body):
 		t.recorder.addArrival(arrival)
@@ -160,6 +172,13 @@
 	case taken(b.dropResponse):
 		t.execute(r.Context(), arrival, b)
 		panic(http.ErrAbortHandler)
+	case taken(b.endless):
+		t.execute(r.Context(), arrival, b)
+		w.Header().Set(t.dialect.Signature, entry.ID)
+		for err := error(nil); err == nil; { // until the instance closes the connection
+			_, err = w.Write(make([]byte, endlessPiece))
+		}
+		panic(http.ErrAbortHandler)
 	case taken(b.fail):
 		t.execute(r.Context(), arrival, b)
 		t.answer(arrival, http.StatusInternalServerError)
@@ -209,6 +228,9 @@
 	if rand.N(tailEvery) == 0 {
 		took *= tailFactor
 	}
+	if strings.HasPrefix(arrival.path, "/"+slowRoute.name+"/") {
+		took = slowWork
+	}
 	if b.slowdown > 0 {
 		took = time.Duration(b.slowdown * float64(took))
 	}
@@ -223,3 +245,14 @@
 func responseFor(id string) string {
 	return id + strings.Repeat(".", int(xxhash.Sum64String(id)%maxResponsePadding))
 }
+
+// maxRecordedBody is the length above which a body is recorded as its hash.
+const maxRecordedBody = 64 << 10
+
+// recordedBody returns a body as it is recorded.
+func recordedBody(body []byte) string {
+	if len(body) > maxRecordedBody {
+		return fmt.Sprintf("%d bytes with hash %x", len(body), xxhash.Sum64(body))
+	}
+	return string(body)
+}
