membership: calls between instances name their addressee

Cause, suspected: a call of another fleet. Tests of other packages run fleets of four instances, i00 to i03, on the same loopback address; when an ephemeral port changes hands, one of them calls an instance of this test. Outside of tests the same happens between two fleets with the same identifiers when an address changes hands.

Change: each call of dogwoodrouted names the instance that it is meant for, and another one rejects it. Builds that do not name it are accepted. The test's fleet listens on an address of its own. A message that reaches an instance with the same identifier in another fleet is still accepted; mTLS with an authority for each fleet keeps these apart.

Evidence: TestCallsForAnotherInstanceAreRejected failed before.

--- a/membership/clients.go
+++ b/membership/clients.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	response, err := f(ctx, peerapi.NewPeerClient(connection))
+	response, err := f(withAddressee(ctx, p.ID), peerapi.NewPeerClient(connection))
 	if err != nil {
 		return fail(err)
 	}
--- a/membership/server.go
+++ b/membership/server.go
@@ -32,7 +32,7 @@
 	s := grpc.NewServer(t.options.Identity.ServerOption(), grpc.MaxRecvMsgSize(maxRequestBytes), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
-		grpc.StatsHandler(t.traffic), grpc.UnaryInterceptor(t.checkReachable))
+		grpc.StatsHandler(t.traffic), grpc.ChainUnaryInterceptor(t.checkAddressee, t.checkReachable))
 	peerapi.RegisterPeerServer(s, &server{task: t})
 	return s
 }
--- a/membership/task_test.go
+++ b/membership/task_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -34,7 +35,8 @@
 	l := new(configservice.List)
 	var listeners []net.Listener
 	for k := range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		// Not 127.0.0.1, where fleets of other tests have instances with the same identifiers.
+		listener, err := net.Listen("tcp", "127.0.0.2:0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -150,6 +152,33 @@
 	}
 }
 
+// Guards against the state of another fleet that is taken over, since one of its instances
+// calls an address that has gone to an instance of this one: members with the same
+// identifiers would be replaced and lost.
+func TestCallsForAnotherInstanceAreRejected(t *testing.T) {
+	is := is.New(t)
+	d := startSteppedFleet(t, 20)
+	for range 40 {
+		d.round()
+	}
+	foreign := NewMembers(MembersOptions{Self: node(1, 2), Rand: rand.New(rand.NewPCG(1, 2)), Interval: DefaultInterval})
+	for k := 2; k < 4; k++ {
+		other := NewMembers(MembersOptions{Self: node(k, 2), Rand: rand.New(rand.NewPCG(1, 2)), Interval: DefaultInterval})
+		is.True(foreign.Receive(0, other.Message(0, true)))
+	}
+	clients := newClients(func(string) bool { return true }, new(traffic), nil)
+	defer clients.close()
+	_, err := call(t.Context(), clients, Peer{ID: "i03", PeerAddress: d.tasks[7].options.Self.PeerAddress}, "exchange",
+		func(ctx context.Context, c peerapi.PeerClient) (*peerapi.State, error) {
+			return c.Exchange(ctx, foreign.Message(0, true))
+		})
+	is.True(err != nil)
+	for range 200 {
+		d.round()
+	}
+	is.Equal(len(d.tasks[0].View().Members), 20)
+}
+
 // Guards against calls that cross a simulated partition in either direction, and
 // against calls that succeed although their handler is not set.
 func TestRequests(t *testing.T) {
