eventlog: drop lines after Close instead of a panic

What would be seen: a process that ends with a panic at the end of a stop, when a request that was cut still logs.

Cause: Close closed the channel of the lines.

Change: later lines are dropped.

Evidence: TestLinesAfterCloseAreDropped fails before, by a panic: send on closed channel.

--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -30,13 +30,14 @@
 	ordinary *rate.Limiter
 	failures *rate.Limiter
 	dropped  atomic.Int64
+	closing  chan struct{}
 	done     chan struct{}
 }
 
 // New returns a log that writes to w until Close. Errors of w are ignored, since
 // there is nowhere to report them.
 func New(w io.Writer) *Log {
-	l := &Log{lines: make(chan []byte, queueLength), done: make(chan struct{}),
+	l := &Log{lines: make(chan []byte, queueLength), closing: make(chan struct{}), done: make(chan struct{}),
 		ordinary: rate.NewLimiter(ordinaryPerSecond, 2*ordinaryPerSecond),
 		failures: rate.NewLimiter(failuresPerSecond, 2*failuresPerSecond)}
 	go l.write(bufio.NewWriterSize(w, outputBufferBytes))
@@ -49,9 +50,10 @@
 	return slog.New(&handler{Handler: slog.NewJSONHandler(lineWriter{l}, &slog.HandlerOptions{Level: level}), log: l})
 }
 
-// Close writes the queued lines and stops the log. Logging after Close panics.
+// Close writes the queued lines and stops the log. Later lines are dropped: a request that
+// is cut at the end of a stop may still log. It may be called once.
 func (l *Log) Close() {
-	close(l.lines)
+	close(l.closing)
 	<-l.done
 }
 
@@ -67,15 +69,17 @@
 	reported := int64(0)
 	for {
 		select {
-		case line, open := <-l.lines:
-			if !open {
-				_ = w.Flush() // a failing log has nowhere to report
-				return
-			}
+		case line := <-l.lines:
 			_, _ = w.Write(line)
 			if len(l.lines) == 0 {
-				_ = w.Flush()
+				_ = w.Flush() // a failing log has nowhere to report
+			}
+		case <-l.closing:
+			for len(l.lines) > 0 {
+				_, _ = w.Write(<-l.lines)
 			}
+			_ = w.Flush()
+			return
 		case <-ticker.C:
 			if n := l.dropped.Load(); n != reported {
 				direct.Warn("log lines dropped", "count", n-reported)
--- a/eventlog/log_test.go
+++ b/eventlog/log_test.go
@@ -59,3 +59,16 @@
 	log.Close()
 	is.True(strings.Contains(out.String(), `"instance":"i-1","g":{"a":1}`))
 }
+
+// Guards against a line after Close that ends the process.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := eventlog.New(&out)
+	logger := l.Logger(slog.LevelInfo)
+	logger.Info("before")
+	l.Close()
+	logger.Info("after")
+	is.True(strings.Contains(out.String(), "before"))
+	is.True(!strings.Contains(out.String(), "after"))
+}
