node: leave time for the last failure reports at the end of a stop

Reports were passed on within what was left of the drain, which is nothing if requests take all of it. They get 150 ms of the margin before the platform kills the process then. Found by reading, on a path related to the requests that a stop cuts; no failure was seen.

--- a/node/run.go
+++ b/node/run.go
@@ -18,8 +18,10 @@
 	// still served. Later ones are refused, since they might not end in time.
 	lastRequestWait = 200 * time.Millisecond
 	// reportTimeout bounds the time at the end of the drain for the last failure reports:
-	// the check of a target and one exchange with a peer.
-	reportTimeout = 700 * time.Millisecond
+	// the check of a target and one exchange with a peer. They get minReportTimeout, out of
+	// shutdownMargin, if requests have taken the whole drain.
+	reportTimeout    = 700 * time.Millisecond
+	minReportTimeout = 150 * time.Millisecond
 	// lastResponseMargin is the time in which the response to a request that was taken
 	// during the stop and has used all its time is written to its caller.
 	lastResponseMargin = 100 * time.Millisecond
@@ -77,7 +79,9 @@
 func (n *Node) drain(ctx context.Context) {
 	limit := n.settings.Load().Bounds.ShutdownTimeout - shutdownMargin
 	n.options.Log.Info("shutdown requested, draining", "in_flight", n.gateway.InFlight(), "limit_ms", limit.Milliseconds())
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	end := time.Now().Add(limit)
+	reports := ctx
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	n.gateway.Stop(n.now() + limit - lastResponseMargin)
 	n.fleet.Leave()
@@ -94,8 +98,8 @@
 			n.options.Log.Warn("server shutdown incomplete, requests in progress are cut", "error", err.Error(), "in_flight", n.gateway.InFlight())
 		}
 	}
-	ctx, cancel = context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	n.gateway.AwaitCrashChecks(ctx)
-	n.fleet.FlushReports(ctx)
+	reports, cancelReports := context.WithTimeout(reports, min(reportTimeout, max(minReportTimeout, time.Until(end))))
+	defer cancelReports()
+	n.gateway.AwaitCrashChecks(reports)
+	n.fleet.FlushReports(reports)
 }
