--- a/internal/edgecli/supervisor.go
+++ b/internal/edgecli/supervisor.go
@@ -40,7 +40,7 @@
 				s.node.Stop()
 			}
 		case <-ticker.C:
-			if source, err := os.ReadFile(s.settingsPath); err == nil && !bytes.Equal(source, s.lastSettings) {
+			if s.settingsChanged() {
 				s.reload("file changed")
 			}
 		case <-ended:
@@ -49,6 +49,21 @@
 	}
 }
 
+// settleTime is the time for which a changed settings file must stay as it is.
+const settleTime = 50 * time.Millisecond
+
+// settingsChanged reports whether the settings file has changed and is complete. One that
+// is just being written may be valid, with defaults for what is still missing.
+func (s *supervisor) settingsChanged() bool {
+	source, err := os.ReadFile(s.settingsPath)
+	if err != nil || bytes.Equal(source, s.lastSettings) {
+		return false
+	}
+	time.Sleep(settleTime)
+	again, err := os.ReadFile(s.settingsPath)
+	return err == nil && bytes.Equal(source, again)
+}
+
 // reload applies the settings file. If it cannot be read or is invalid, the settings in
 // use stay.
 func (s *supervisor) reload(reason string) {
