Contain panics to the work in which they arise

A panic in any goroutine but a request handler ended the process and the requests of all its callers.

Change, in dogwoodroute-edge: a panic ends the message to a task, the attempt, the choice of a target, the probe, the crash check, the exchange, the call of the store or the decoding of the record in which it arises. It is counted by kind of work and logged with its stack. The caller of a message that panics gets an error instead of waiting for ever. A record whose decoding panics is left out; the others of the same answer are used.

No panic is known. TestPanicEndsTheAttemptOnly and TestRecordThatPanicsDoesNotAffectOthers end the test process without it.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -58,7 +58,7 @@
 		return
 	}
 	r := recordFromMessage(s.GetConfig())
-	config, _, err := t.options.Decode(r.Key, r.Value)
+	config, _, err := t.decode(r)
 	if err == nil && config == nil {
 		err = errors.New("record contains no configuration")
 	}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
@@ -178,7 +179,11 @@
 // send makes an exchange in a new goroutine. done runs in the task's goroutine.
 func (t *Task) send(conn *grpc.ClientConn, state *peerapi.FleetState, done func(time.Duration, *peerapi.FleetState, error)) {
 	go func() {
-		answer, err := exchange(t.context, conn, state)
+		var answer *peerapi.FleetState
+		var err error
+		if failed := contain.Run("exchange", t.options.OnPanic, func() { answer, err = exchange(t.context, conn, state) }); failed != nil {
+			err = failed
+		}
 		t.loop.Post(func(now time.Duration) { done(now, answer, err) })
 	}()
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -37,6 +37,9 @@
 		_, err := fmt.Sscan(string(value), &version)
 		return &catalog.Config{Version: version}, nil, err
 	}
+	if string(value) == "panic" {
+		panic("a record that cannot be decoded")
+	}
 	if strings.HasPrefix(string(value), "bad") {
 		return nil, nil, errors.New("unreadable")
 	}
@@ -60,6 +63,7 @@
 type instance struct {
 	*fleet.Task
 	failureReports atomic.Int64 // number of failure reports from peers
+	panics         atomic.Int64 // contained ones
 	cancel         context.CancelFunc
 	ended          chan struct{}
 }
@@ -99,7 +103,7 @@
 	i := &instance{ended: make(chan struct{})}
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
 		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
-		Decoder: decoder{}, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
+		Decoder: decoder{}, OnPanic: func(string, any, []byte) { i.panics.Add(1) }, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
 	i.SetDialer(c.links.dialer(ip))
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
@@ -245,6 +249,19 @@
 	c.await("one target", func(i *instance) bool { return len(i.View().Targets["s"]) == 1 })
 }
 
+// Guards against a record that ends the process, or hides the others of the same answer,
+// since its decoding panics.
+func TestRecordThatPanicsDoesNotAffectOthers(t *testing.T) {
+	c := newCluster(t, 1)
+	c.store.change(records.Record{Key: "odd", Value: []byte("panic")})
+	c.store.change(records.Record{Key: "t1", Value: []byte("fine")})
+	c.setVersion(1)
+	c.startAll(3)
+	c.await("the configuration", version(1))
+	c.await("the target", targets("t1"))
+	c.await("a contained panic", func(i *instance) bool { return i.panics.Load() > 0 })
+}
+
 // Guards against large values that are truncated or rejected between instances.
 func TestLargeRecordReachesPeers(t *testing.T) {
 	c := newCluster(t, 1)
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/secure"
 )
@@ -34,6 +35,9 @@
 	Source
 	Decoder
 	Log *slog.Logger
+	// OnPanic handles a panic in the work on a message or an exchange, which then ends that
+	// work only. Nil: it ends the process.
+	OnPanic contain.Handler
 	// Now returns the time since the start of the process, on a monotonic clock.
 	Now func() time.Duration
 	// OnView, if not nil, is called by the task after each new view. It returns whether
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -67,6 +68,7 @@
 	failed         bool          // the last call failed
 	failures       int           // calls that failed since the store's last answer, also of earlier readers
 	answeredBefore bool          // a call has succeeded
+	onPanic        contain.Handler
 	lapsedUntil    time.Duration // removals before this time count as lapsed
 }
 
@@ -75,7 +77,10 @@
 	r.mustList = r.position.Revision == 0
 	starting := r.mustList
 	for ctx.Err() == nil {
-		result := r.callStore(ctx)
+		var result readResult
+		if err := contain.Run("call of the store", r.onPanic, func() { result = r.callStore(ctx) }); err != nil {
+			result = readResult{err: err}
+		}
 		if ctx.Err() != nil {
 			return
 		}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/records"
@@ -79,6 +80,7 @@
 func New(o Options) *Task {
 	t := &Task{options: o, loop: owner.New(o.Now), set: records.NewSet(), builder: catalog.NewBuilder(),
 		clients: newClients(o.Port, o.Identity), exchanging: make(map[netip.Addr]bool), queued: make(map[netip.Addr]*broadcast)}
+	t.loop.OnPanic(o.OnPanic)
 	t.roster = newRoster(Member{IP: o.IP, Incarnation: o.Incarnation, Domain: o.Domain})
 	t.seeds = t.othersOf(o.Seeds)
 	t.view.Store(t.builder.Build(0, records.Position{}))
@@ -195,7 +197,7 @@
 	ctx, cancel := context.WithCancel(t.context)
 	t.stopReader, t.storeFailing = cancel, false
 	t.options.Log.Info("start reading the store", "era", t.set.Position().Era, "revision", t.set.Position().Revision)
-	r := &reader{source: t.options.Source, now: t.options.Now, position: t.set.Position(), answered: t.options.Now(), failures: t.storeFailures}
+	r := &reader{source: t.options.Source, now: t.options.Now, position: t.set.Position(), answered: t.options.Now(), failures: t.storeFailures, onPanic: t.options.OnPanic}
 	r.deliver = func(result readResult) {
 		t.loop.Post(func(now time.Duration) {
 			if ctx.Err() == nil {
@@ -265,13 +267,23 @@
 	t.publishView(now)
 }
 
+// decode decodes a record. A panic of the decoder is an error: it concerns that record only.
+func (t *Task) decode(r records.Record) (config *catalog.Config, target *catalog.Target, err error) {
+	if failed := contain.Run("decoding of a record", t.options.OnPanic, func() {
+		config, target, err = t.options.Decode(r.Key, r.Value)
+	}); failed != nil {
+		return nil, nil, failed
+	}
+	return config, target, err
+}
+
 func (t *Task) applyOne(now time.Duration, r records.Record) {
 	if r.Deleted {
 		t.options.Log.Info("record removed", "key", r.Key, "era", t.set.Position().Era, "revision", r.Revision, "lapsed", r.Lapsed)
 		t.builder.Remove(now, r.Key, r.Lapsed)
 		return
 	}
-	config, target, err := t.options.Decode(r.Key, r.Value)
+	config, target, err := t.decode(r)
 	switch {
 	case err != nil:
 		t.options.Log.Warn("cannot decode record, not used", "key", r.Key, "revision", r.Revision, "error", logText(err))
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/poison"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
@@ -101,12 +102,14 @@
 		defer g.crashChecks.Add(-1)
 		defer done()
 		backoff.Sleep(ctx, crashCheckDelay)
-		if g.isDown(ctx, t, path, broken) {
-			g.scheduler.recordCrash(report, id, t.ID)
-		} else if broken {
-			g.options.Log.Info("target answers after a broken attempt; no failure report", "id", id,
-				"fingerprint", report.Request.String(), "target", t.ID)
-		}
+		_ = contain.Run("crash check", g.options.OnPanic, func() {
+			if g.isDown(ctx, t, path, broken) {
+				g.scheduler.recordCrash(report, id, t.ID)
+			} else if broken {
+				g.options.Log.Info("target answers after a broken attempt; no failure report", "id", id,
+					"fingerprint", report.Request.String(), "target", t.ID)
+			}
+		})
 	}()
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
@@ -96,7 +97,11 @@
 	if r.countAttempts(func(a *attempt) bool { return a.outcome != attemptNotSent }) == 0 {
 		p = firstSend // no target has received it yet
 	}
-	go func() { r.selected <- r.selectTarget(r.ctx, &request, p) }()
+	go func() {
+		s := selection{refusal: r.stoppedRefusal()}
+		_ = contain.Run("choice of a target", r.gateway.options.OnPanic, func() { s = r.selectTarget(r.ctx, &request, p) })
+		r.selected <- s
+	}()
 }
 
 // releaseIfUnwanted replaces a selected target by a refusal if the request must not be
@@ -146,7 +151,10 @@
 	r.hedgeTimer.Reset(res.HedgeAfter)
 	outgoing := r.outgoingRequest(a)
 	go func() {
-		e := r.send(r.ctx, outgoing)
+		var e attemptEnd
+		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = r.send(r.ctx, outgoing) }); err != nil {
+			e = attemptEnd{outcome: attemptBroken, err: err, endedAt: r.gateway.options.Now()}
+		}
 		if e.advised {
 			r.gateway.scheduler.recordAdvice(res, e.advice)
 		}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
@@ -62,6 +63,9 @@
 	// true if the request is blocked from this report on, as its caller may send it to
 	// another instance at once. It must not block.
 	OnFailureReport func(report quarantine.FailureReport, urgent bool)
+	// OnPanic handles a panic in the work on a request, which then ends that work only. Nil:
+	// it ends the process.
+	OnPanic contain.Handler
 	// Now returns the time since the start of the process.
 	Now func() time.Duration
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -46,7 +46,9 @@
 	if o.Share != nil {
 		placer.SetShares(func(t *catalog.Target, n int) (bool, int) { return o.Share(incarnationHash(t), t.FailureDomain, n) })
 	}
-	return &scheduler{loop: owner.New(o.Now), placer: placer,
+	loop := owner.New(o.Now)
+	loop.OnPanic(o.OnPanic)
+	return &scheduler{loop: loop, placer: placer,
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
 		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -9,6 +9,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
+	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/transport"
 )
@@ -115,7 +116,9 @@
 		return reports
 	}
 	for _, t := range targets {
-		go x.gateway.probeAndRecord(ctx, t, x.healthPath(t), received)
+		go func() {
+			_ = contain.Run("probe", x.gateway.options.OnPanic, func() { x.gateway.probeAndRecord(ctx, t, x.healthPath(t), received) })
+		}()
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +96,22 @@
 	is.Equal(<-status, http.StatusServiceUnavailable)
 	is.Equal(f.total(), int64(0))
 }
+
+// Guards against a response that makes the process end: a panic ends the attempt in which
+// it arises.
+func TestPanicEndsTheAttemptOnly(t *testing.T) {
+	is := is.New(t)
+	var bad atomic.Bool
+	bad.Store(true)
+	f := start(t, startTarget(t, "a", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		if bad.Load() {
+			s.respond(c, 200, r, "Signature: a\r\nLoad: panic", "")
+			return true
+		}
+		return run(s, c, r, body)
+	}))
+	is.Equal(f.send(t, http.MethodPost, "/unsafe/x", "body").status, http.StatusBadGateway) // it may have run
+	is.Equal(f.panics.Load(), int64(1))
+	bad.Store(false)
+	is.Equal(f.send(t, http.MethodPost, "/unsafe/x", "body").status, http.StatusOK)
+}
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -32,6 +32,9 @@
 
 var dialect = gateway.Dialect{RequestID: "Id", Deadline: "Deadline-Ms", ExpectedTarget: "Expected", Signature: "Signature",
 	NotRun: "Not-Run", Load: "Load", TargetID: "Identity", ParseLoad: func(value string) (placement.Load, bool) {
+		if value == "panic" {
+			panic("a load report that cannot be parsed")
+		}
 		var l placement.Load
 		_, err := fmt.Sscanf(value, "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
 		l.Slowness = 1
@@ -163,6 +166,7 @@
 	server  *httptest.Server
 	view    atomic.Pointer[catalog.View]
 	targets []*target
+	panics  atomic.Int64 // contained ones
 	// isolated is the result of Options.Isolated.
 	isolated atomic.Bool
 	// failureReports receives the reports for other instances.
@@ -202,6 +206,7 @@
 		MemoryBytes: 4 << 20, ConfigWait: testTimeout,
 		// Long, so that no report is ignored on a busy machine.
 		LocalReportWait: testTimeout, RemoteReportWait: testTimeout, Log: slog.New(slog.DiscardHandler),
+		OnPanic: func(string, any, []byte) { f.panics.Add(1) },
 		Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
 		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) }})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -22,6 +22,7 @@
 	tagOutcome = "outcome"
 	tagLimit   = "limit"
 	tagOrigin  = "origin"
+	tagWork    = "work"
 )
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -35,6 +36,7 @@
 	expired  *tagged[tally.Counter]
 	reports  *tagged[tally.Counter]
 	advice   *tagged[tally.Counter]
+	panics   *tagged[tally.Counter]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
 }
@@ -72,6 +74,9 @@
 	m.advice = newTagged(func(kind string) tally.Counter {
 		return scope.Tagged(map[string]string{tagKind: kind}).Counter("target_advice_total")
 	})
+	m.panics = newTagged(func(work string) tally.Counter {
+		return scope.Tagged(map[string]string{tagWork: work}).Counter("panics_total")
+	})
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
 		return scope.Tagged(map[string]string{tagRoute: route}).Histogram("request_seconds", latencyBuckets)
@@ -104,6 +109,9 @@
 // TargetAdvice counts a change in what a target says about the requests that it wants.
 func (m *Metrics) TargetAdvice(kind string) { m.advice.get(kind).Inc(1) }
 
+// Panic counts a panic that ended only the work in which it arose.
+func (m *Metrics) Panic(work string) { m.panics.get(work).Inc(1) }
+
 // Gauge sets a gauge of the instance. The first 1024 names are kept apart; further
 // names share one gauge.
 func (m *Metrics) Gauge(name string, value float64) { m.gauges.get(name).Update(value) }
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -55,7 +56,7 @@
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		MemoryBytes:     o.Settings.exchangeBytes(),
-		OnFailureReport: n.fleet.ReportFailure, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
+		OnFailureReport: n.fleet.ReportFailure, OnPanic: n.panicked, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
 	}
@@ -84,6 +85,7 @@
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
 		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: n.now, OnView: n.viewChanged,
+		OnPanic:          n.panicked,
 		OnFailureReports: func(list []quarantine.FailureReport) { n.gateway.AddFailureReports(list) }})
 	return nil
 }
@@ -129,3 +131,13 @@
 	n.gateway.ViewChanged()
 	return n.gateway.Ready()
 }
+
+// maxStackBytes bounds the stack of a panic in the log.
+const maxStackBytes = 4 << 10
+
+// panicked reports a panic that was contained.
+func (n *Node) panicked(where string, value any, stack []byte) {
+	n.metrics.Panic(where)
+	n.options.Log.Error("panic, the work in which it arose has ended", "where", where, "value", fmt.Sprint(value),
+		"stack", string(stack[:min(len(stack), maxStackBytes)]))
+}
