gateway: log what a failure report's fingerprint follows from

The record excludes that reports come late (each block is known on all instances within 5 ms) and that they are voided (no voided fingerprint crashes a target later). It shows crashes under fingerprints that never had a report, and no blocked one that comes again. Which part of the request differs cannot be read from the log, which has the fingerprint only.

Change: the lines on a crash check have caller, host, method, path with query and length of the body, bounded. No logic changes.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"log/slog"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,7 +97,8 @@
 func (x *exchange) checkCrash(t *catalog.Target, broken bool, done func()) {
 	g := x.gateway
 	report := quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
-	ctx, id, path := context.WithoutCancel(x.caller.Context()), x.id, x.healthPath(t)
+	ctx, path := context.WithoutCancel(x.caller.Context()), x.healthPath(t)
+	request := x.identityAttrs(report, t)
 	g.crashChecks.Add(1)
 	go func() {
 		defer g.crashChecks.Add(-1)
@@ -104,15 +106,28 @@
 		backoff.Sleep(ctx, crashCheckDelay)
 		_ = contain.Run("crash check", g.options.OnPanic, func() {
 			if g.isDown(ctx, t, path, broken) {
-				g.scheduler.recordCrash(report, id, t.ID)
+				g.scheduler.recordCrash(report, request)
 			} else if broken {
-				g.options.Log.Info("target answers after a broken attempt; no failure report", "id", id,
-					"fingerprint", report.Request.String(), "target", t.ID)
+				g.options.Log.LogAttrs(ctx, slog.LevelInfo, "target answers after a broken attempt; no failure report", request...)
 			}
 		})
 	}()
 }
 
+// maxLoggedBytes bounds the bytes of a part of a request in a log line.
+const maxLoggedBytes = 128
+
+// bounded returns the first maxLoggedBytes of s.
+func bounded(s string) string { return s[:min(maxLoggedBytes, len(s))] }
+
+// identityAttrs returns the log fields that show what a failure report of an attempt at t is
+// about, with the parts of the request from which its fingerprint follows.
+func (x *exchange) identityAttrs(report quarantine.FailureReport, t *catalog.Target) []slog.Attr {
+	return []slog.Attr{slog.String("id", x.id), slog.String("fingerprint", report.Request.String()), slog.String("target", t.ID),
+		slog.String("caller", x.callerAddress()), slog.String("host", bounded(x.caller.Host)), slog.String("method", x.caller.Method),
+		slog.String("uri", bounded(x.caller.RequestURI)), slog.Int64("body_bytes", x.body.Len())}
+}
+
 // checkPollInterval is the time between two looks at the crash checks in progress.
 const checkPollInterval = 5 * time.Millisecond
 
@@ -142,15 +157,14 @@
 }
 
 // recordCrash adds a report that a target was down after it got a request, and
-// passes it to the other instances. id is the request ID, for the log.
-func (s *scheduler) recordCrash(report quarantine.FailureReport, id, target string) {
+// passes it to the other instances. request holds the log fields of the request.
+func (s *scheduler) recordCrash(report quarantine.FailureReport, request []slog.Attr) {
 	s.queuedReports.Add(1) // a check of the block that follows must wait for the report
 	s.loop.Post(func(now time.Duration) {
 		count := s.reports.Add(report)
 		s.expireReports(now)
-		s.log.Info("target is down after a request; failure report added",
-			"id", id, "fingerprint", report.Request.String(), "target", target,
-			"targets", count, "blocked_ms", s.blockedFor(now, report.Request).Milliseconds())
+		s.log.LogAttrs(context.Background(), slog.LevelInfo, "target is down after a request; failure report added",
+			append(request, slog.Int("targets", count), slog.Int64("blocked_ms", s.blockedFor(now, report.Request).Milliseconds()))...)
 		s.metrics.FailureReports(originSelf, 1)
 		s.onFailureReport(report, count >= quarantine.CrashLimit)
 		s.queuedReports.Add(-1)
