gateway: test that fails for a request sent by many callers

A request that crashes targets was sent from eight addresses in 17 s and crashed two to three targets for each of them.

--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -65,6 +65,23 @@
 	is.Equal(f.send(t, "POST", "/unsafe/x", "another").status, 200)
 }
 
+// Guards against a request that crashes two targets for each address from which it is sent.
+func TestRequestThatCrashesTargetsIsBlockedForAllCallers(t *testing.T) {
+	is := is.New(t)
+	var targets []*target
+	for i := range 8 {
+		targets = append(targets, startTarget(t, "t"+strconv.Itoa(i), func(s *target, c net.Conn, r *http.Request, _ []byte) bool {
+			return crash(s, c, r, []byte("crash"))
+		}))
+	}
+	f := start(t, targets...)
+	is.Equal(f.sendFrom(t, "127.0.0.2", "GET", "/safe/x").status, 502)
+	for n := range 3 {
+		is.Equal(f.sendFrom(t, "127.0.0."+strconv.Itoa(3+n), "GET", "/safe/x").status, 503)
+	}
+	is.Equal(f.total(), int64(2))
+}
+
 // Guards against one request that crashes as many targets as its route allows attempts,
 // before the first of them is known to be down.
 func TestRetriesOfOneRequestCrashTwoTargets(t *testing.T) {
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -244,6 +244,20 @@
 // send sends a request as a caller and returns the response. header holds pairs of
 // names and values.
 func (f *fixture) send(t *testing.T, method, path, body string, header ...string) callerResponse {
+	t.Helper()
+	return f.sendWith(t, http.DefaultTransport, method, path, body, header...)
+}
+
+// sendFrom sends a request without a body as send does, as a caller with an address of its
+// own.
+func (f *fixture) sendFrom(t *testing.T, address, method, path string) callerResponse {
+	t.Helper()
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return f.sendWith(t, transport, method, path, "")
+}
+
+func (f *fixture) sendWith(t *testing.T, transport http.RoundTripper, method, path, body string, header ...string) callerResponse {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
@@ -256,7 +270,7 @@
 	for i := 0; i < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	response, err := http.DefaultTransport.RoundTrip(r)
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
 	}
