quarantine: block a request briefly whose targets were lost together

One that many of them send is in progress on several targets; when these are lost together (a rack, a whole service), it has as many failure reports, and all callers are refused for five minutes although the targets are back after seconds.

Cause: two failed targets counted as proof, also if no run had begun after the first failure.

Change: a report says whether its run began when another target was known to have failed under the request. While none does, and all failures are within ten seconds, the request is blocked for ten seconds instead of five minutes. A run after that decides. The attempts of one exchange follow each other, so a request that crashes targets is still blocked for five minutes by its first retry; older builds do not send the field and get the short block at first.

Ruled out: comparing the times of runs, which differ between instances by the way of a message, about as long as a short run.

--- a/fleet/message.go
+++ b/fleet/message.go
@@ -127,12 +127,13 @@
 
 func reportMessage(now time.Duration, t *trackedReport) *peerapi.FleetStrike {
 	return &peerapi.FleetStrike{Id: t.id, Request: t.Request[:], Target: t.Target, AgeMs: uint32(max(0, now-t.At).Milliseconds()),
-		Completed: t.Completed}
+		Completed: t.Completed, AfterFailure: t.AfterFailure}
 }
 
 // reportFromMessage returns a failure report and its identifier.
 func reportFromMessage(now time.Duration, m *peerapi.FleetStrike) (uint64, quarantine.FailureReport, error) {
-	r := quarantine.FailureReport{Target: m.GetTarget(), At: now - time.Duration(m.GetAgeMs())*time.Millisecond, Completed: m.GetCompleted()}
+	r := quarantine.FailureReport{Target: m.GetTarget(), At: now - time.Duration(m.GetAgeMs())*time.Millisecond, Completed: m.GetCompleted(),
+		AfterFailure: m.GetAfterFailure()}
 	if len(m.GetRequest()) != len(r.Request) {
 		return 0, r, errors.Errorf("request fingerprint has %d bytes, want %d", len(m.GetRequest()), len(r.Request))
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,6 +23,9 @@
 type attempt struct {
 	reservation
 	number int // from 1
+	// afterFailure is true if a target was known to have failed under the request when the
+	// attempt began.
+	afterFailure bool
 	// finished is true once attemptEnd is set.
 	finished bool
 	attemptEnd
--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -95,9 +95,9 @@
 // checkCrash checks whether the target of an attempt that broke or was given up is down
 // and, if so, adds a failure report for the request. It returns at once; done is called
 // after the check.
-func (x *exchange) checkCrash(t *catalog.Target, broken bool, done func()) {
-	g := x.gateway
-	report := quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now()}
+func (x *exchange) checkCrash(a *attempt, broken bool, done func()) {
+	g, t := x.gateway, a.Target
+	report := quarantine.FailureReport{Request: x.fingerprint(), Target: incarnationHash(t), At: g.options.Now(), AfterFailure: a.afterFailure}
 	ctx, path := context.WithoutCancel(x.caller.Context()), x.healthPath(t)
 	request := x.identityAttrs(report, t)
 	g.crashChecks.Add(1)
@@ -126,7 +126,8 @@
 func (x *exchange) identityAttrs(report quarantine.FailureReport, t *catalog.Target) []slog.Attr {
 	return []slog.Attr{slog.String("id", x.id), slog.String("fingerprint", report.Request.String()), slog.String("target", t.ID),
 		slog.String("caller", x.callerAddress()), slog.String("host", bounded(x.caller.Host)), slog.String("method", x.caller.Method),
-		slog.String("uri", bounded(x.caller.RequestURI)), slog.Int64("body_bytes", x.body.Len())}
+		slog.String("uri", bounded(x.caller.RequestURI)), slog.Int64("body_bytes", x.body.Len()),
+		slog.Bool("after_failure", report.AfterFailure)}
 }
 
 // checkPollInterval is the time between two looks at the crash checks in progress.
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -97,6 +97,37 @@
 	is.Equal(f.total(), int64(2))
 }
 
+// Guards against a request of many callers that is refused for minutes after its targets were
+// lost together.
+func TestTargetsLostTogetherBlockTheirRequestBriefly(t *testing.T) {
+	is := is.New(t)
+	lost := make(chan struct{})
+	begun := make(chan struct{})
+	run := func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		begun <- struct{}{}
+		<-lost
+		return crash(s, c, r, body)
+	}
+	f := start(t)
+	statuses := make(chan int, 2)
+	for _, id := range []string{"a", "b"} {
+		f.targets = []*target{startTarget(t, id, run)}
+		f.configure(catalog.Limits{})
+		go func() { statuses <- f.send(t, "POST", "/unsafe/x", "crash").status }()
+		<-begun
+	}
+	close(lost)
+	for range 2 {
+		is.Equal(<-statuses, 502)
+		f.awaitFailureReport(t)
+	}
+	got := f.send(t, "POST", "/unsafe/x", "crash")
+	is.Equal(got.status, 503)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after <= 10)
+}
+
 // Guards against instances that are cut off from each other and crash as many targets each
 // as the fleet may together, and against a long block by one that knows little.
 func TestIsolatedInstanceBlocksAfterOneCrash(t *testing.T) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -144,7 +144,8 @@
 
 // startAttempt sends the request to a reserved target in another goroutine.
 func (r *forwarder) startAttempt(res reservation) {
-	a := &attempt{reservation: res, number: len(r.attempts) + 1}
+	afterFailure := r.failedTargets > 0 || r.countAttempts(func(a *attempt) bool { return a.outcome == attemptBroken }) > 0
+	a := &attempt{reservation: res, number: len(r.attempts) + 1, afterFailure: afterFailure}
 	r.attempts = append(r.attempts, a)
 	r.request.Tried = append(r.request.Tried, res.Target.Incarnation())
 	r.active++
@@ -191,7 +192,7 @@
 		return a.response
 	case attemptBroken:
 		r.checks++
-		r.checkCrash(a.Target, true, func() { r.checked <- struct{}{} })
+		r.checkCrash(a, true, func() { r.checked <- struct{}{} })
 	}
 	if a.response != nil && r.targetFailure == nil {
 		r.targetFailure = a.response
@@ -283,7 +284,7 @@
 func (r *forwarder) expired() *response {
 	for _, a := range r.attempts {
 		if !a.finished || a.outcome == attemptTimedOut || a.outcome == attemptCancelled {
-			r.checkCrash(a.Target, false, func() {})
+			r.checkCrash(a, false, func() {})
 		}
 	}
 	if r.caller.Context().Err() != nil {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -16,6 +16,10 @@
 	Target uint64
 	// At is when the run ended, on the clock of this process.
 	At time.Duration
+	// AfterFailure is true if another target was known to have failed under the request when
+	// the run began. Targets that fail under runs of which none was AfterFailure may have
+	// been lost together, for another cause than the request.
+	AfterFailure bool
 	// Completed is true when the target completed the request, which cancels all
 	// earlier failures of the request. Otherwise the target was down afterwards.
 	Completed bool
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -19,6 +19,11 @@
 	// reached CrashLimit, blocked. Until then all its failures count: a request that
 	// comes back every few minutes crashes one target each time.
 	Retention = 5 * time.Minute
+	// simultaneousHold replaces Retention while all failures of a request are closer together
+	// than this and none is known to have followed another one: targets that were lost
+	// together are back within seconds, and a request that many callers send was in
+	// progress on several of them.
+	simultaneousHold = 10 * time.Second
 	// maxRequests bounds the memory of the tracker: when a failure domain fails,
 	// each request in progress there gets a failure report.
 	maxRequests = 4096
@@ -36,11 +41,30 @@
 // requestRecord holds the failures of one request since its last completed run. Without
 // failures it keeps the time of that run, since earlier failures may be reported later.
 type requestRecord struct {
-	failures    map[uint64]time.Duration // time of the last failure by target
+	failures    map[uint64]failure // last failure by target
 	lastFailure time.Duration
 	completedAt time.Duration
 }
 
+// failure is the end of a run after which its target was down.
+type failure struct {
+	at           time.Duration
+	afterFailure bool
+}
+
+// hold returns how long after its last failure the request is blocked.
+func (r *requestRecord) hold() time.Duration {
+	if len(r.failures) <= 1 {
+		return Retention
+	}
+	for _, f := range r.failures {
+		if f.afterFailure || r.lastFailure-f.at >= simultaneousHold {
+			return Retention
+		}
+	}
+	return simultaneousHold
+}
+
 // lastEvent returns the time of the last failure or completed run.
 func (r *requestRecord) lastEvent() time.Duration { return max(r.lastFailure, r.completedAt) }
 
@@ -56,19 +80,19 @@
 		if len(t.records) >= maxRequests {
 			t.dropOldest()
 		}
-		r = &requestRecord{failures: make(map[uint64]time.Duration), lastFailure: beforeAll, completedAt: beforeAll}
+		r = &requestRecord{failures: make(map[uint64]failure), lastFailure: beforeAll, completedAt: beforeAll}
 		t.records[report.Request] = r
 	}
 	if report.Completed {
 		r.completedAt = max(r.completedAt, report.At)
 	} else {
-		if last, known := r.failures[report.Target]; !known || report.At > last {
-			r.failures[report.Target] = report.At
+		if last, known := r.failures[report.Target]; !known || report.At > last.at {
+			r.failures[report.Target] = failure{at: report.At, afterFailure: report.AfterFailure}
 		}
 		r.lastFailure = max(r.lastFailure, report.At)
 	}
-	for target, at := range r.failures {
-		if at <= r.completedAt {
+	for target, f := range r.failures {
+		if f.at <= r.completedAt {
 			delete(r.failures, target)
 		}
 	}
@@ -88,7 +112,7 @@
 // failed targets on, or 0 if it is not blocked.
 func (t *Tracker) BlockedFor(now time.Duration, request poison.Fingerprint, limit int) time.Duration {
 	if r := t.records[request]; r != nil && len(r.failures) >= limit {
-		return max(0, r.lastFailure+Retention-now)
+		return max(0, r.lastFailure+r.hold()-now)
 	}
 	return 0
 }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// Guards against a request of many callers that is blocked for minutes because it was in progress
+// on several targets that were lost together.
+func TestSimultaneousFailuresBlockBriefly(t *testing.T) {
+	is := is.New(t)
+	tracker := quarantine.NewTracker()
+	report := quarantine.FailureReport{Request: fingerprint(1)}
+	for n := range uint64(4) {
+		report.Target, report.At = n, time.Duration(n)*time.Millisecond
+		tracker.Add(report)
+	}
+	is.True(tracker.BlockedFor(time.Second, fingerprint(1), quarantine.CrashLimit) > 0)
+	is.Equal(tracker.BlockedFor(15*time.Second, fingerprint(1), quarantine.CrashLimit), time.Duration(0))
+	report.Target, report.At, report.AfterFailure = 9, 15*time.Second, true
+	tracker.Add(report)
+	is.True(tracker.BlockedFor(4*time.Minute, fingerprint(1), quarantine.CrashLimit) > 0)
+}
+
 // Guards against memory use that grows with each crash.
 func TestTrackerIsBounded(t *testing.T) {
 	is := is.New(t)
