gateway: broadcast at once a completed run that ends a block

What callers would see: an innocent request that was in progress at two crashed targets is blocked, and all callers of it are refused. A run that was still in progress elsewhere completes and voids the reports, but other instances learn it by the regular exchanges, a second or two later, and refuse meanwhile.

Cause: only the report that begins a block was urgent. With one request for all callers, the end of a block concerns as many of them as its beginning.

Change: a completion that ends a block is broadcast at once, too.

Evidence: TestRunThatEndsABlockIsReportedAtOnce fails before ('not true: f.urgent.Load()') and passes now, 20 times in a row.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -181,12 +181,13 @@
 // recordCompletion adds a completion of a request that has failure reports. Other
 // requests are ignored.
 func (s *scheduler) recordCompletion(report quarantine.FailureReport) {
-	s.loop.Post(func(time.Duration) {
+	s.loop.Post(func(now time.Duration) {
 		if failed := s.reports.FailedTargets(report.Request); failed > 0 {
+			blocked := s.reports.BlockedFor(now, report.Request, quarantine.CrashLimit) > 0
 			s.reports.Add(report)
 			s.log.Info("target completed a request with failure reports; earlier reports are void",
 				"fingerprint", report.Request.String(), "targets", failed)
-			s.onFailureReport(report, false)
+			s.onFailureReport(report, blocked) // others refuse the request until they know
 		}
 	})
 }
--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -172,6 +172,24 @@
 	}
 }
 
+// Guards against instances that refuse a request for seconds after a run of it has been completed.
+func TestRunThatEndsABlockIsReportedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", crash))
+	is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 502)
+	report := f.awaitFailureReport(t)
+	f.targets = []*target{startTarget(t, "b", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		second := report
+		second.Target++
+		f.gateway.AddFailureReports([]quarantine.FailureReport{second}) // blocks the request while it runs
+		return run(s, c, r, body)
+	})}
+	f.configure(catalog.Limits{})
+	is.Equal(f.send(t, "POST", "/unsafe/x", "crash").status, 200)
+	is.True(f.awaitFailureReport(t).Completed)
+	is.True(f.urgent.Load())
+}
+
 // Guards against an instance that stops before it knows whether its last request crashed a
 // target.
 func TestCrashChecksAreAwaited(t *testing.T) {
