fleet: reject a failure report whose resource has the wrong length

A peer's report with a resource of another length was taken as one without a resource; nobody would have seen it. It is refused and logged now, like one with a wrong request fingerprint. Found by reading the change; no failure was seen. The test also checks that each part of a report reaches other instances.

--- a/fleet/failure_reports_test.go
+++ b/fleet/failure_reports_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
+	"github.com/dogwoodroute/dogwoodroute/poison"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
@@ -101,3 +102,23 @@
 		}
 	}
 }
+
+// Guards against parts of a failure report that other instances do not get, so that they do not
+// block the request, or block it for another time.
+func TestFailureReportsAreTransmittedWhole(t *testing.T) {
+	is := is.New(t)
+	sent := quarantine.FailureReport{Request: poison.Fingerprint{1}, Resource: poison.Fingerprint{2}, Target: 3, At: -time.Second, AfterFailure: true}
+	m := reportMessage(0, &trackedReport{FailureReport: sent, id: 4})
+	id, received, err := reportFromMessage(0, m)
+	is.NoErr(err)
+	is.Equal(id, uint64(4))
+	is.Equal(received, sent)
+	m.Resource = nil
+	sent.Resource = poison.Fingerprint{}
+	_, received, err = reportFromMessage(0, m)
+	is.NoErr(err)
+	is.Equal(received, sent)
+	m.Resource = []byte{1}
+	_, _, err = reportFromMessage(0, m)
+	is.True(err != nil)
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -138,8 +138,12 @@
 		return 0, r, errors.Errorf("request fingerprint has %d bytes, want %d", len(m.GetRequest()), len(r.Request))
 	}
 	r.Request = poison.Fingerprint(m.GetRequest())
-	if resource := m.GetResource(); len(resource) == len(r.Resource) {
-		r.Resource = poison.Fingerprint(resource)
+	switch len(m.GetResource()) {
+	case 0: // of a build that does not know it
+	case len(r.Resource):
+		r.Resource = poison.Fingerprint(m.GetResource())
+	default:
+		return 0, r, errors.Errorf("resource fingerprint has %d bytes, want %d", len(m.GetResource()), len(r.Resource))
 	}
 	return cmp.Or(m.GetId(), contentID(r)), r, nil
 }
