Evacuation of failure domains: read, spread, in force with the next view

A record of the store now decodes to a catalog.Entry: a configuration, a target or an evacuated failure domain. Evacuations spread like all records, with the same order of positions, so none goes back to an older state. The builder leaves the targets of evacuated domains out of the view, as it does with draining ones: waiting requests, retries and hedges choose from the next view.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -27,6 +27,14 @@
 	lapsedEntries int // number of entries with removeAt set
 	removed       removedTargets
 	refused       map[string]*refusedTarget
+	evacuations   map[string]*evacuation
+}
+
+// evacuation is the record that evacuates a failure domain.
+type evacuation struct {
+	domain string
+	// removeAt is when a lapsed record is removed, or 0 if it has not lapsed.
+	removeAt time.Duration
 }
 
 // refusedTarget is a target whose registration is not later than the one before its
@@ -46,7 +54,8 @@
 
 // NewBuilder returns an empty builder.
 func NewBuilder() *Builder {
-	return &Builder{entries: make(map[string]*targetEntry), refused: make(map[string]*refusedTarget)}
+	return &Builder{entries: make(map[string]*targetEntry), refused: make(map[string]*refusedTarget),
+		evacuations: make(map[string]*evacuation)}
 }
 
 // SetConfig replaces the configuration in force if c has a higher version, and
@@ -86,9 +95,21 @@
 	b.entries[key] = &targetEntry{target: t}
 }
 
+// SetEvacuated evacuates a failure domain until the record of key is removed.
+func (b *Builder) SetEvacuated(key, domain string) { b.evacuations[key] = &evacuation{domain: domain} }
+
 // Remove deletes the entry of key. If it lapsed, it is kept for LapseGrace, unless
-// the target was draining.
+// it is that of a draining target.
 func (b *Builder) Remove(now time.Duration, key string, lapsed bool) {
+	if e := b.evacuations[key]; e != nil {
+		switch {
+		case !lapsed:
+			delete(b.evacuations, key)
+		case e.removeAt == 0: // a restored store lacks it until the operators write it again
+			e.removeAt = now + LapseGrace
+		}
+		return
+	}
 	delete(b.refused, key)
 	e := b.entries[key]
 	if e == nil {
@@ -120,7 +141,7 @@
 	}
 }
 
-// Expire deletes the lapsed entries whose grace period has ended, uses the refused targets
+// Expire deletes the lapsed records whose grace period has ended, uses the refused targets
 // that the store has listed for refusedWait, and reports whether there were any.
 func (b *Builder) Expire(now time.Duration) (changed bool) {
 	if b.lapsedEntries > 0 {
@@ -131,6 +152,12 @@
 			}
 		}
 	}
+	for key, e := range b.evacuations {
+		if e.removeAt > 0 && now >= e.removeAt {
+			delete(b.evacuations, key)
+			changed = true
+		}
+	}
 	for key, r := range b.refused {
 		switch {
 		case r.useAt == 0:
@@ -147,8 +174,12 @@
 // history up to which the state is complete.
 func (b *Builder) Build(now time.Duration, position records.Position) *View {
 	v := &View{Config: b.config, Routes: b.matcher, Targets: make(map[string][]*Target), Position: position, BuiltAt: now}
+	for _, e := range b.evacuations {
+		v.Evacuated = append(v.Evacuated, e.domain)
+	}
+	slices.Sort(v.Evacuated)
 	for _, e := range b.entries {
-		if !e.target.Draining {
+		if !e.target.Draining && !slices.Contains(v.Evacuated, e.target.FailureDomain) {
 			v.Targets[e.target.Service] = append(v.Targets[e.target.Service], e.target)
 		}
 	}
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -34,6 +34,9 @@
 	// MaxAttempts is the largest number of targets to which a request may be sent.
 	// It is at least 1.
 	MaxAttempts int
+	// Regions are the only regions in which the requests may be handled, sorted. None means
+	// that all may.
+	Regions []string
 }
 
 // WeightedService is the share of one service in a route.
@@ -49,6 +52,12 @@
 	HealthPath string
 	// MaxConnections limits the connections to one target from all callers.
 	MaxConnections int
+	// Warmup is how long a target runs slowly after its start, or after it became cold
+	// again. Zero means that it is not known.
+	Warmup time.Duration
+	// WarmupRate is the number of requests a second that a target tolerates while it warms
+	// up, from all instances together; far above it the target crashes. Zero means no limit.
+	WarmupRate float64
 }
 
 // Limits holds the limits for requests and connections of callers. Zero means no
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -13,8 +13,11 @@
 	Config *Config
 	// Routes matches requests to the routes of Config. It is nil if Config is.
 	Routes *Matcher
-	// Targets holds the targets that accept new requests by service, sorted by ID.
+	// Targets holds the targets that accept new requests by service, sorted by ID. Those of
+	// evacuated failure domains are left out.
 	Targets map[string][]*Target
+	// Evacuated are the failure domains whose targets get no new requests, sorted.
+	Evacuated []string
 	// Position is the position in the store's history up to which the view is complete.
 	Position records.Position
 	// BuiltAt is when the view was built, since the instance's start.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -58,8 +58,8 @@
 		return
 	}
 	r := recordFromMessage(s.GetConfig())
-	config, _, err := t.decode(r)
-	if err == nil && config == nil {
+	entry, err := t.decode(r)
+	if err == nil && entry.Config == nil {
 		err = errors.New("record contains no configuration")
 	}
 	if err != nil {
@@ -67,7 +67,7 @@
 		t.config.refused = max(t.config.refused, s.GetConfigVersion())
 		return
 	}
-	if t.setConfig(r, config) {
+	if t.setConfig(r, entry.Config) {
 		t.publishView(now)
 	}
 }
--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -17,8 +17,8 @@
 
 type refusingDecoder struct{}
 
-func (refusingDecoder) Decode(string, []byte) (*catalog.Config, *catalog.Target, error) {
-	return nil, nil, errors.New("unknown format")
+func (refusingDecoder) Decode(string, []byte) (catalog.Entry, error) {
+	return catalog.Entry{}, errors.New("unknown format")
 }
 
 // newStoppedTask returns a task whose calls to peers fail, for tests that pass messages
--- a/fleet/exchange_fuzz_test.go
+++ b/fleet/exchange_fuzz_test.go
@@ -16,8 +16,8 @@
 // anyTarget decodes each record as a target of that name.
 type anyTarget struct{}
 
-func (anyTarget) Decode(key string, value []byte) (*catalog.Config, *catalog.Target, error) {
-	return nil, &catalog.Target{ID: key, Service: string(value)}, nil
+func (anyTarget) Decode(key string, value []byte) (catalog.Entry, error) {
+	return catalog.Entry{Target: &catalog.Target{ID: key, Service: string(value)}}, nil
 }
 
 // loopback maps an address of a message to a loopback address, since the task may
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,22 +28,26 @@
 // testTimeout bounds the wait for a condition. It only ends tests that would hang.
 const testTimeout = time.Minute
 
-// decoder decodes the record "config" as a configuration and all others as targets.
+// decoder decodes the record "config" as a configuration, "evacuate/D" as the evacuation
+// of the failure domain D and all others as targets, whose value is their failure domain.
 type decoder struct{}
 
-func (decoder) Decode(key string, value []byte) (*catalog.Config, *catalog.Target, error) {
+func (decoder) Decode(key string, value []byte) (catalog.Entry, error) {
 	if key == "config" {
 		var version int64
 		_, err := fmt.Sscan(string(value), &version)
-		return &catalog.Config{Version: version}, nil, err
+		return catalog.Entry{Config: &catalog.Config{Version: version}}, err
+	}
+	if domain, ok := strings.CutPrefix(key, "evacuate/"); ok {
+		return catalog.Entry{EvacuatedDomain: domain}, nil
 	}
 	if string(value) == "panic" {
 		panic("a record that cannot be decoded")
 	}
 	if strings.HasPrefix(string(value), "bad") {
-		return nil, nil, errors.New("unreadable")
+		return catalog.Entry{}, errors.New("unreadable")
 	}
-	return nil, &catalog.Target{ID: key, Service: "s", Slots: 1}, nil
+	return catalog.Entry{Target: &catalog.Target{ID: key, FailureDomain: string(value), Service: "s", Slots: 1}}, nil
 }
 
 // cluster is a fleet in one process. Instance n of failure domain d has the address
--- a/fleet/lapse_test.go
+++ b/fleet/lapse_test.go
@@ -13,8 +13,8 @@
 
 type targetDecoder struct{}
 
-func (targetDecoder) Decode(key string, _ []byte) (*catalog.Config, *catalog.Target, error) {
-	return nil, &catalog.Target{ID: key, Service: "s", Slots: 1, StartUnixMS: 100, Sequence: 1}, nil
+func (targetDecoder) Decode(key string, _ []byte) (catalog.Entry, error) {
+	return catalog.Entry{Target: &catalog.Target{ID: key, Service: "s", Slots: 1, StartUnixMS: 100, Sequence: 1}}, nil
 }
 
 // Guards against targets that the reader keeps, since they lapsed while the store was
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -40,7 +40,6 @@
 
 // Decoder decodes the values of records.
 type Decoder interface {
-	// Decode returns the configuration or the target that a record contains. Both are
-	// nil if it contains neither.
-	Decode(key string, value []byte) (*catalog.Config, *catalog.Target, error)
+	// Decode returns the content of a record, which is empty if instances do not use it.
+	Decode(key string, value []byte) (catalog.Entry, error)
 }
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -268,13 +268,13 @@
 }
 
 // decode decodes a record. A panic of the decoder is an error: it concerns that record only.
-func (t *Task) decode(r records.Record) (config *catalog.Config, target *catalog.Target, err error) {
+func (t *Task) decode(r records.Record) (entry catalog.Entry, err error) {
 	if failed := contain.Run("decoding of a record", t.options.OnPanic, func() {
-		config, target, err = t.options.Decode(r.Key, r.Value)
+		entry, err = t.options.Decode(r.Key, r.Value)
 	}); failed != nil {
-		return nil, nil, failed
+		return catalog.Entry{}, failed
 	}
-	return config, target, err
+	return entry, err
 }
 
 func (t *Task) applyOne(now time.Duration, r records.Record) {
@@ -283,13 +283,16 @@
 		t.builder.Remove(now, r.Key, r.Lapsed)
 		return
 	}
-	config, target, err := t.decode(r)
-	switch {
+	entry, err := t.decode(r)
+	switch target := entry.Target; {
 	case err != nil:
 		t.options.Log.Warn("cannot decode record, not used", "key", r.Key, "revision", r.Revision, "error", logText(err))
 		t.builder.SetTarget(r.Key, nil)
-	case config != nil:
-		t.setConfig(r, config)
+	case entry.Config != nil:
+		t.setConfig(r, entry.Config)
+	case entry.EvacuatedDomain != "":
+		t.builder.SetEvacuated(r.Key, entry.EvacuatedDomain)
+		t.options.Log.Info("failure domain evacuated", "domain", entry.EvacuatedDomain, "era", t.set.Position().Era, "revision", r.Revision)
 	case target != nil:
 		accepted := t.builder.SetTarget(r.Key, target)
 		t.options.Log.Info("target reported", "target", target.ID, "address", target.Address, "service", target.Service,
--- a/node/node.go
+++ b/node/node.go
@@ -129,6 +129,7 @@
 // ready with it.
 func (n *Node) viewChanged() (ready bool) {
 	n.gateway.ViewChanged()
+	n.metrics.Gauge("evacuated_failure_domains", float64(len(n.fleet.View().Evacuated)))
 	return n.gateway.Ready()
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -11,7 +11,9 @@
 	// FailureDomains are all failure domains of the fleet, sorted. Instances exchange
 	// indexes into this list, so it must be the same on all of them.
 	FailureDomains []string
-	Addresses      Addresses
+	// DomainRegions holds the region of each failure domain.
+	DomainRegions map[string]string
+	Addresses     Addresses
 	// Seeds are the peer addresses, with port, of up to three instances that may be
 	// running.
 	Seeds []string
@@ -51,4 +53,8 @@
 	// ProbesPerTarget bounds the probes that one target receives per second from all
 	// instances together. Zero means unlimited.
 	ProbesPerTarget float64
+	// WarmupOverage and WarmupAllowance bound the requests that a target gets in a second
+	// while it warms up, over all instances together: WarmupOverage times the rate that its
+	// service tolerates, plus WarmupAllowance.
+	WarmupOverage, WarmupAllowance float64
 }
