--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -88,6 +88,10 @@
 				addLater(rec, req, r, recoveryTime+time.Duration(i+1)*100*time.Millisecond)
 			}
 		}},
+		{"evacuated failure domains get no more requests", func(rec *recorder, _ *request, r *arrival) {
+			r.domain = "b"
+			rec.evacuations = append(rec.evacuations, evacuation{domain: "b", from: r.arrivedAt - evacuationLimit - time.Millisecond, to: r.arrivedAt + time.Second})
+		}},
 		{"a configuration is in force in time", func(rec *recorder, _ *request, _ *arrival) {
 			rec.configs = append(rec.configs, storedConfig{at: 7 * time.Second, services: map[string][]string{"write": {"s1"}}})
 		}},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -35,6 +35,7 @@
 	{"drain and return", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.drain(ctx, f.anyTarget(r), r) }},
 	{"configuration", true, func(_ context.Context, f *fleet, r *rand.Rand) { f.reconfigure(r) }},
 	{"late requests in a stop", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.lateRequests(ctx, f.anyInstance(r)) }},
+	{"domain evacuated", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.evacuate(ctx, r) }},
 	{"long configurations in a burst", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.burst(ctx, r) }},
 	{"long bodies", true, func(ctx context.Context, f *fleet, r *rand.Rand) { f.longBodies(ctx, f.anyInstance(r), r) }},
 	{"kill", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
@@ -207,6 +208,7 @@
 	f.store.FailCalls(nil)
 	backoff.Sleep(ctx, randomBelow(r, time.Second))
 	f.store.PutConfig(&f.config)
+	f.restoreEvacuations()
 	for _, t := range f.targets {
 		t.update(func(*catalog.Target, *behaviour) {}) // a registration later than that of the copy
 		f.publish(t)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -30,7 +30,10 @@
 	callers    atomic.Int64 // used for the numbers of callers of events
 	configLock sync.Mutex
 	seedsLock  sync.Mutex
-	config     catalog.Config
+	// evacuationLock is held during an evacuation, evacuated its failure domain.
+	evacuationLock sync.Mutex
+	evacuated      atomic.Pointer[string]
+	config         catalog.Config
 }
 
 // newFleet starts the fakes and proxies and writes the settings of the instances.
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -27,6 +27,7 @@
 type arrival struct {
 	id, method, path, body string
 	target, service        string
+	domain                 string // of the target
 	arrivedAt              time.Duration
 	// remaining is the forwarded deadline as time left, or -1 without one.
 	remaining time.Duration
@@ -73,6 +74,7 @@
 	disturbances []disturbance
 	limits       []namedLimit
 	configs      []storedConfig
+	evacuations  []evacuation
 }
 
 // storedConfig is a configuration that was written to the store.
@@ -131,6 +133,12 @@
 	rec.limits = append(rec.limits, l)
 }
 
+func (rec *recorder) addEvacuation(e evacuation) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.evacuations = append(rec.evacuations, e)
+}
+
 func (rec *recorder) addConfig(c storedConfig) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -147,7 +147,7 @@
 		return // an incomplete request does not run
 	}
 	arrival := &arrival{id: id, method: r.Method, path: r.URL.RequestURI(), body: recordedBody(body), target: entry.ID,
-		service: entry.Service, arrivedAt: t.now(), remaining: -1}
+		service: entry.Service, domain: entry.FailureDomain, arrivedAt: t.now(), remaining: -1}
 	if ms, err := strconv.Atoi(r.Header.Get(t.dialect.Deadline)); err == nil {
 		arrival.remaining = time.Duration(ms) * time.Millisecond
 	}
