placement, shortage: an order among requests while a service is short of room

Callers saw: in a shortage, requests were refused by chance. Ranks 0 and 1 were the same class, so on the auction site three kinds of four were equally urgent.

Cause: an instance sees a few requests a second, so its own queue tells nothing of the fleet, and nothing but two classes orders the requests.

Change: package shortage keeps decaying sums by service (demand by route, what started, how full targets report to be) that instances can average, and derives from them which share of each route's requests is admitted: by rank, then by mean slot time. The cut-off takes effect only as far as targets report to be full, and not where the targets that this instance asks have room. placement applies it on arrival; the slots above the saturation point, the whole retry budget and the waiting room go to routes that are not turned away.

Tests changed: overload_test.go takes the number of instances, routes that share a service and hooks; its checks are the same.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -127,7 +127,7 @@
 // and satisfy the requirement. It reports false when there is none.
 func (p *Placer) Choose(now time.Duration, r *Request, reports []Report, requirement Requirement) (Choice, bool) {
 	w := p.workOf(r.Route)
-	above := r.Urgent() || p.random.Float64() < explorationShare
+	above := p.comesFirst(now, r) || p.random.Float64() < explorationShare
 	var best estimate
 	found := false
 	for _, report := range reports {
--- /dev/null
+++ b/placement/demand_test.go
@@ -0,0 +1,78 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/shortage"
+)
+
+// turnedAway returns how many of a hundred requests of each rank are turned away.
+func turnedAway(p *placement.Placer, timeout func(i int) time.Duration, ranks ...int) []int {
+	counts := make([]int, len(ranks))
+	for i, rank := range ranks {
+		for n := range 100 {
+			r := newRequest(rank)
+			r.Route = &catalog.Route{Name: string(rune('a' + rank)), Objective: objective, Rank: rank}
+			r.CallerTimeout = timeout(n)
+			if p.Offer(0, r) {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// shortFigure returns a figure of the fleet by which two thirds of the demand find no room.
+func shortFigure() []shortage.Entry {
+	s := shortage.Request(shortage.KeyOf("a"), 0, time.Second).Plus(shortage.Request(shortage.KeyOf("c"), 2, 4*time.Second))
+	s.Started, s.Room, s.Used = 1600, 10000, 10000
+	for i := range s.Routes {
+		s.Routes[i].Requests, s.Routes[i].SlotTime = 1000*s.Routes[i].Requests, 1000*s.Routes[i].SlotTime
+	}
+	return []shortage.Entry{{Service: service, Sums: s}}
+}
+
+// Guards against a figure of the fleet that is not followed, and against one that blocks a
+// service whose targets report room to this instance.
+func TestFleetShortageIsFollowedUnlessTargetsHaveRoom(t *testing.T) {
+	is := is.New(t)
+	a := newTarget("a", "near")
+	p := newPlacer(a)
+	first := func(int) time.Duration { return time.Second }
+	is.Equal(turnedAway(p, first, 0, 2), []int{0, 0})
+	p = newPlacer(a)
+	p.SetDemand(0, shortFigure())
+	counts := turnedAway(p, first, 0, 2)
+	is.True(counts[0] < 10 && counts[1] > 60)
+	p = newPlacer(a)
+	p.SetDemand(0, shortFigure())
+	for range 10 {
+		p.Reported(report(a, 1, 0, 1))
+	}
+	is.Equal(turnedAway(p, first, 0, 2), []int{0, 0})
+}
+
+// Guards against a caller that returns after a refusal and is refused as readily as one
+// that has not waited.
+func TestReturningCallersAreTurnedAwayLess(t *testing.T) {
+	is := is.New(t)
+	counts := make([]int, 2)
+	for i, lacks := range []time.Duration{0, 100 * time.Millisecond} {
+		p := newPlacer(newTarget("a", "near"))
+		figure := shortFigure()
+		figure[0].Sums.Started = 3000 // three fifths find room
+		p.SetDemand(0, figure)
+		counts[i] = turnedAway(p, func(n int) time.Duration {
+			if n == 0 {
+				return 2 * time.Second
+			}
+			return 2*time.Second - lacks
+		}, 2)[0]
+	}
+	is.True(counts[0] > counts[1]+10)
+}
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -17,5 +17,10 @@
 // above the capacity of the targets that lasts for seconds, such as a load peak while
 // some targets are missing.
 //
+// While a service is short of room over the whole fleet, package shortage says which share
+// of each route's requests is admitted. Offer applies it when a request arrives, and the
+// slots above the saturation point, the retry budget and the places in the queue go to the
+// routes that come first.
+//
 // Placer holds the state. Times are on the monotonic clock of the instance.
 package placement
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -16,11 +17,14 @@
 // fifth of their speed for a quarter of the time.
 type overloadService struct {
 	name                      string
+	shares                    string // the service whose targets it uses instead of its own
 	rank, targets             int
 	work, objective, deadline time.Duration
 	rate, burst               float64
 	burstFrom, burstTo        time.Duration
-	requests, onTime          []int // by second of arrival
+	requests, onTime, served  []int // by second of arrival
+	// factor multiplies the rate, nil: not.
+	factor func(now time.Duration) float64
 }
 
 const (
@@ -65,30 +69,41 @@
 	routes   map[string]*catalog.Route
 	targets  map[string]*overloadTarget
 	placers  []*placement.Placer
+	lists    map[string][]*catalog.Target // by service
 	pending  []*overloadRequest
 	returns  []*overloadRequest // callers that come back at nextLook
 	probes   int
+	// reachable is the number of instances that callers reach. offer decides on a request
+	// that arrives, started is called when one is sent, step in each millisecond.
+	reachable int
+	offer     func(now time.Duration, r *overloadRequest) (turnedAway bool)
+	started   func(now time.Duration, r *overloadRequest)
+	step      func(now time.Duration)
 }
 
-func newOverloadFleet(seed uint64, services []*overloadService) *overloadFleet {
+func newOverloadFleet(seed uint64, instances int, services []*overloadService) *overloadFleet {
 	f := &overloadFleet{random: rand.New(rand.NewPCG(seed, 6)), services: services, routes: make(map[string]*catalog.Route), targets: make(map[string]*overloadTarget)}
-	lists := make(map[string][]*catalog.Target)
+	f.lists = make(map[string][]*catalog.Target)
 	for _, s := range services {
 		f.routes[s.name] = &catalog.Route{Name: s.name, Objective: s.objective, Rank: s.rank, MaxAttempts: 2}
 		seconds := int(overloadDuration/time.Second) + 1
 		if s.requests == nil {
-			s.requests, s.onTime = make([]int, seconds), make([]int, seconds)
+			s.requests, s.onTime, s.served = make([]int, seconds), make([]int, seconds), make([]int, seconds)
 		}
 		for i := range s.targets {
 			t := &catalog.Target{ID: fmt.Sprint(s.name, i), FailureDomain: fmt.Sprint(i % 2), Service: s.name, Slots: overloadSlots}
-			lists[s.name] = append(lists[s.name], t)
+			f.lists[s.name] = append(f.lists[s.name], t)
 			f.targets[t.ID] = &overloadTarget{Target: t, slowness: 1}
 		}
 	}
-	for i := range overloadInstances {
+	f.offer = func(time.Duration, *overloadRequest) bool { return false }
+	f.started = func(time.Duration, *overloadRequest) {}
+	f.step = func(time.Duration) {}
+	f.reachable = instances
+	for i := range instances {
 		p := placement.New(fmt.Sprint(i%2), rand.New(rand.NewPCG(uint64(i), seed)))
-		p.SetTargets(0, lists)
-		p.SetFleet(0, overloadInstances, overloadProbeLimit)
+		p.SetTargets(0, f.lists)
+		p.SetFleet(0, instances, overloadProbeLimit)
 		f.placers = append(f.placers, p)
 	}
 	return f
@@ -96,9 +111,14 @@
 
 func (f *overloadFleet) arrive(now time.Duration, s *overloadService, first time.Duration, tries int) {
 	deadline := first + s.deadline*overloadCallerTries/2
-	r := &overloadRequest{service: s, instance: f.random.IntN(overloadInstances), first: first, tries: tries, nextLook: now, pause: 8 * time.Millisecond,
+	r := &overloadRequest{service: s, instance: f.random.IntN(f.reachable), first: first, tries: tries, nextLook: now, pause: 8 * time.Millisecond,
 		remaining: time.Duration(float64(s.work) * (0.7 + 0.6*f.random.Float64()))}
-	r.request = placement.Request{Route: f.routes[s.name], Service: s.name, Arrived: now, Deadline: min(deadline, now+s.deadline)}
+	r.request = placement.Request{Route: f.routes[s.name], Service: cmp.Or(s.shares, s.name), Arrived: now, Deadline: min(deadline, now+s.deadline),
+		CallerTimeout: deadline - now}
+	if f.offer(now, r) {
+		f.comeBack(now, r, f.placers[r.instance].TurnedAwayFor(now, &r.request))
+		return
+	}
 	f.pending = append(f.pending, r)
 }
 
@@ -127,6 +147,7 @@
 	if choice, ok := p.Choose(now, &r.request, reports, p.Requirement(now, &r.request)); ok {
 		r.choice, r.sentAt = choice, now
 		p.Sent(now, choice.Target.Incarnation())
+		f.started(now, r)
 		f.stopWaiting(r)
 		t := f.targets[choice.Target.ID]
 		if len(t.running)+len(t.waiting) >= overloadSlots+overloadQueue {
@@ -167,7 +188,10 @@
 	f.placers[r.instance].Ended(now, r.choice.Target.Incarnation(), r.sentAt, f.routes[r.service.name], r.choice, outcome)
 	if !outcome.Responded {
 		f.comeBack(now, r, 0)
-	} else if now-r.first <= r.service.objective {
+		return
+	}
+	r.service.served[r.first/time.Second]++
+	if now-r.first <= r.service.objective {
 		r.service.onTime[r.first/time.Second]++
 	}
 }
@@ -217,11 +241,15 @@
 			if now >= s.burstFrom && now < s.burstTo {
 				rate *= s.burst
 			}
+			if s.factor != nil {
+				rate *= s.factor(now)
+			}
 			for due[i] += rate / 1000; due[i] >= 1; due[i]-- {
 				s.requests[now/time.Second]++
 				f.arrive(now, s, now, 0)
 			}
 		}
+		f.step(now)
 		f.returns = slices.DeleteFunc(f.returns, func(r *overloadRequest) bool {
 			if now < r.nextLook {
 				return false
@@ -284,8 +312,8 @@
 	)
 	probes := 0
 	for seed := range uint64(runs) {
-		newOverloadFleet(seed, calm).run()
-		f := newOverloadFleet(seed, loaded)
+		newOverloadFleet(seed, overloadInstances, calm).run()
+		f := newOverloadFleet(seed, overloadInstances, loaded)
 		f.run()
 		probes += f.probes
 	}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -29,6 +29,7 @@
 	queues    map[string]*waitQueue      // by service
 	probes    probeBudget
 	share     ShareFunc
+	demand    demand
 }
 
 // New returns a placer without targets for an instance in the failure domain.
--- a/placement/request.go
+++ b/placement/request.go
@@ -16,6 +16,8 @@
 	// Tried lists the targets that the request was already sent to. They are not
 	// chosen again.
 	Tried []catalog.Incarnation
+	// CallerTimeout is the time that the caller states to have left, 0 if it states none.
+	CallerTimeout time.Duration
 }
 
 // objective returns the route's objective or, if it has none, half of the time
@@ -31,5 +33,5 @@
 const maxUrgentRank = 1
 
 // Urgent reports whether the request may use the slots above a target's saturation
-// point, and the whole retry budget for its retries.
+// point, and the whole retry budget for its retries, while its service has room.
 func (r *Request) Urgent() bool { return r.Route.Rank <= maxUrgentRank }
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -112,5 +112,6 @@
 	if t := p.targets[r.Target.Incarnation()]; t != nil && r.At >= t.lastReport.At {
 		t.lastReport = r
 		p.load(t.Service).observe(r)
+		p.observeRoom(t, r)
 	}
 }
--- /dev/null
+++ b/shortage/sums.go
@@ -0,0 +1,140 @@
+package shortage
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SumsHalfLife is the half-life of Sums. An instance sees a few requests a second: over a
+// shorter time even the sums of a fleet vary by chance; over a longer one a shortage would
+// be seen, and forgotten, too late for requests with objectives of a second.
+const SumsHalfLife = 800 * time.Millisecond
+
+// maxRoutes bounds the routes in Sums, and so the size of a message. Routes beyond it are
+// admitted as if there were no shortage.
+const maxRoutes = 16
+
+// Sums are exponentially decaying sums over what instances saw of one service: sums of one
+// instance, or a mean over several. Only their ratios count.
+type Sums struct {
+	// Routes is the demand by route, sorted by Key.
+	Routes []RouteSums
+	// Started is the slot time in seconds that requests were expected to use that were
+	// sent to a target for the first time.
+	Started float64
+	// Room weighs each load report with the speed of its target. Used is the part of it in
+	// use, of the requests with which the target has its highest throughput.
+	Room, Used float64
+}
+
+// RouteSums is the demand of one route for one service. Requests that are refused count.
+type RouteSums struct {
+	Key  RouteKey
+	Rank int
+	// Requests counts the requests, SlotTime is the time in seconds that they are expected
+	// to use a slot.
+	Requests, SlotTime float64
+}
+
+// RouteKey identifies a route in messages.
+type RouteKey uint32
+
+// KeyOf returns the key of the route with this name.
+func KeyOf(route string) RouteKey { return RouteKey(xxhash.Sum64String(route)) }
+
+// Request returns the sums of one request that arrived.
+func Request(key RouteKey, rank int, slotTime time.Duration) Sums {
+	return Sums{Routes: []RouteSums{{Key: key, Rank: rank, Requests: 1, SlotTime: slotTime.Seconds()}}}
+}
+
+// combine returns weight times a + b. Where both know a route, it has the rank of b.
+func combine(a Sums, weight float64, b Sums) Sums {
+	sum := Sums{Started: weight*a.Started + b.Started, Room: weight*a.Room + b.Room, Used: weight*a.Used + b.Used,
+		Routes: make([]RouteSums, 0, max(len(a.Routes), len(b.Routes)))}
+	for i, j := 0, 0; (i < len(a.Routes) || j < len(b.Routes)) && len(sum.Routes) < maxRoutes; {
+		var r RouteSums
+		order := 0
+		switch {
+		case i == len(a.Routes):
+			order = 1
+		case j == len(b.Routes):
+			order = -1
+		default:
+			order = cmp.Compare(a.Routes[i].Key, b.Routes[j].Key)
+		}
+		if order <= 0 {
+			r = a.Routes[i]
+			r.Requests *= weight
+			r.SlotTime *= weight
+			i++
+		}
+		if order >= 0 {
+			added := b.Routes[j]
+			r = RouteSums{Key: added.Key, Rank: added.Rank, Requests: r.Requests + added.Requests, SlotTime: r.SlotTime + added.SlotTime}
+			j++
+		}
+		sum.Routes = append(sum.Routes, r)
+	}
+	return sum
+}
+
+// scaled returns the sums times x.
+func (s Sums) scaled(x float64) Sums { return combine(s, x, Sums{}) }
+
+// Plus returns the sum of both.
+func (s Sums) Plus(other Sums) Sums { return combine(s, 1, other) }
+
+// mean returns the mean of both. A route's rank is that of s, which has the
+// configuration in force at this instance, if both know it.
+func (s Sums) mean(other Sums) Sums { return combine(other, 1, s).scaled(0.5) }
+
+// faded returns the sums after the elapsed time.
+func (s Sums) faded(elapsed time.Duration) Sums {
+	return s.scaled(math.Exp2(-max(0, elapsed).Seconds() / SumsHalfLife.Seconds()))
+}
+
+// fullness returns the part of the room that is in use, or 0 with too few reports.
+func (s Sums) fullness() float64 {
+	if s.Room < minRoom {
+		return 0
+	}
+	return s.Used / s.Room
+}
+
+// roomyFullness is the fullness of the targets that one instance asks, by chance and by
+// failure domain different from others, below which it surely finds room.
+const roomyFullness = 0.6
+
+// HasRoom reports whether the targets that reported recently clearly have room.
+func (s Sums) HasRoom() bool { return s.Room >= minRoom && s.fullness() < roomyFullness }
+
+// minRoom is the sum of the weights of load reports from which fullness is known. One
+// report of a full target says nothing of the others.
+const minRoom = 1.5
+
+// SlotTime returns the expected slot time of all requests in seconds.
+func (s Sums) SlotTime() float64 {
+	total := 0.0
+	for _, r := range s.Routes {
+		total += r.SlotTime
+	}
+	return total
+}
+
+// Valid reports whether the sums of a message are plausible.
+func (s Sums) Valid() bool {
+	plausible := func(list ...float64) bool {
+		return !slices.ContainsFunc(list, func(x float64) bool { return !(x >= 0 && x < maxSum) })
+	}
+	return len(s.Routes) <= maxRoutes && plausible(s.Started, s.Room, s.Used) &&
+		!slices.ContainsFunc(s.Routes, func(r RouteSums) bool { return !plausible(r.Requests, r.SlotTime) }) &&
+		slices.IsSortedFunc(s.Routes, func(a, b RouteSums) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// maxSum bounds a sum in a message. An instance that handles 10,000 requests a second has
+// sums of about 15,000.
+const maxSum = 1e6
