fleet: exchange figures of the demand for services

Cause: package shortage needs the same sums on all instances.

Change: FleetState carries the sums of services that may be short of room, in the exchanges that are made anyway. The peer that answers takes the mean of both and returns it; the one that asked adopts it with what it has seen since. Implausible figures are dropped; builds that do not know the field ignore it.

--- /dev/null
+++ b/fleet/demand.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"github.com/dogwoodroute/dogwoodroute/peerapi"
+	"github.com/dogwoodroute/dogwoodroute/shortage"
+)
+
+// maxServiceName bounds the name of a service in the figures of a peer, which are kept for
+// a while, in bytes.
+const maxServiceName = 256
+
+// ReportDemand adds what this instance saw of the demand for services and of their room to
+// the figures of the fleet. It never blocks.
+func (t *Task) ReportDemand(list []shortage.Entry) {
+	if len(list) == 0 {
+		return
+	}
+	go t.loop.Post(func(now time.Duration) {
+		for _, e := range list {
+			t.demand.Add(now, e.Service, e.Sums)
+		}
+		t.publishDemand()
+	})
+}
+
+// Demand returns the figures of the fleet, a new slice after each change, or nil if there
+// are none.
+func (t *Task) Demand() *[]shortage.Entry { return t.publishedDemand.Load() }
+
+func (t *Task) publishDemand() {
+	list := t.demand.Entries()
+	t.publishedDemand.Store(&list)
+}
+
+// putDemand adds the figures for a peer that has sent these to a state, and returns them.
+func (t *Task) putDemand(now time.Duration, s *peerapi.FleetState, received []shortage.Entry) []shortage.Entry {
+	list := t.demand.ToSend(now, received)
+	for _, e := range list {
+		s.Demand = append(s.Demand, demandMessage(e))
+	}
+	return list
+}
+
+// averageDemand merges the figures of a peer that has started an exchange, and returns them.
+func (t *Task) averageDemand(now time.Duration, s *peerapi.FleetState) []shortage.Entry {
+	received := t.demandFromMessage(now, s)
+	if len(received) > 0 {
+		t.demand.Average(now, received)
+		t.publishDemand()
+	}
+	return received
+}
+
+// adoptDemand merges the answer of a peer to an exchange that sent these figures.
+func (t *Task) adoptDemand(now time.Duration, sent []shortage.Entry, s *peerapi.FleetState) {
+	if answer := t.demandFromMessage(now, s); len(answer) > 0 {
+		t.demand.Adopt(now, sent, answer)
+		t.publishDemand()
+	}
+}
+
+func demandMessage(e shortage.Entry) *peerapi.FleetDemand {
+	m := &peerapi.FleetDemand{Service: e.Service, Started: float32(e.Sums.Started), Room: float32(e.Sums.Room), Used: float32(e.Sums.Used)}
+	for _, r := range e.Sums.Routes {
+		m.Routes = append(m.Routes, &peerapi.FleetRouteDemand{Route: uint32(r.Key), Rank: uint32(r.Rank),
+			Requests: float32(r.Requests), SlotTime: float32(r.SlotTime)})
+	}
+	return m
+}
+
+// demandFromMessage returns the figures in a state. It leaves out those that are not
+// plausible.
+func (t *Task) demandFromMessage(now time.Duration, s *peerapi.FleetState) []shortage.Entry {
+	if s.GetSelf() == nil {
+		return nil
+	}
+	var list []shortage.Entry
+	for _, m := range s.GetDemand() {
+		e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()),
+			Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
+		for _, r := range m.GetRoutes() {
+			e.Sums.Routes = append(e.Sums.Routes, shortage.RouteSums{Key: shortage.RouteKey(r.GetRoute()),
+				Rank: int(min(r.GetRank(), math.MaxInt32)), Requests: float64(r.GetRequests()), SlotTime: float64(r.GetSlotTime())})
+		}
+		if len(e.Service) > maxServiceName || !e.Sums.Valid() {
+			t.options.Log.Warn("implausible demand from peer, ignored", "peer", addressFromNumber(s.GetSelf().GetIp()).String())
+			continue
+		}
+		list = append(list, e)
+	}
+	return list
+}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -168,9 +168,11 @@
 		state.Relay = append(state.Relay, numberFromAddress(other))
 	}
 	t.exchanging[ip] = true
+	sent := t.putDemand(now, state, nil)
 	t.send(conn, state, func(now time.Duration, answer *peerapi.FleetState, err error) {
 		if err == nil {
 			t.failureReports.markDelivered(state.Strikes)
+			t.adoptDemand(now, sent, answer)
 		}
 		t.handleAnswer(now, ip, b, answer, err)
 	})
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -22,10 +22,12 @@
 func (s *service) Exchange(ctx context.Context, state *peerapi.FleetState) (*peerapi.FleetState, error) {
 	answer, err := owner.Call(ctx, s.task.loop, func(now time.Duration) *peerapi.FleetState {
 		isNew := s.task.merge(now, state)
+		received := s.task.averageDemand(now, state)
 		sender := addressFromNumber(state.GetSelf().GetIp())
 		s.task.requestConfig(now, state, sender)
 		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), true)
 		answer.Config = s.task.configFor(state, answer)
+		s.task.putDemand(now, answer, received)
 		if isNew {
 			answer.Members = answer.Members[:0]
 			for _, m := range s.task.roster.initialMembers() {
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/records"
+	"github.com/dogwoodroute/dogwoodroute/shortage"
 )
 
 const (
@@ -73,7 +74,9 @@
 	broadcastScheduled bool                      // broadcastNow will run within broadcastDelay
 	broadcastScope     scope                     // scope of the scheduled broadcast
 	failureReports     failureReports            // reports of requests that may crash targets
-	queuedReports      atomic.Int64              // calls of ReportFailure whose report is not yet in failureReports
+	demand             shortage.Ledger           // demand for services, a mean over the fleet
+	publishedDemand    atomic.Pointer[[]shortage.Entry]
+	queuedReports      atomic.Int64 // calls of ReportFailure whose report is not yet in failureReports
 }
 
 // New returns a task that does nothing until Run is called.
