gateway: turn requests away by the fleet's cut-off, with logs and metrics

Change: the scheduler offers each request that arrives to the placer, hands what it saw to the fleet ten times a second and reads the fleet's figures. A request that is turned away is refused at once with outcome turned-away. A log line says when a service becomes short of room, other ranks are turned away, or it is over, at most one a second and service; metrics shortage_level and turned_away_total.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -101,14 +101,16 @@
 	if blocked > 0 {
 		return newRefusal(outcomeSuspect, blocked)
 	}
-	service, hasTargets, err := g.scheduler.admit(x.caller.Context(), route)
+	admitted, err := g.scheduler.admit(x.caller.Context(), &x.request)
 	if err != nil {
 		return x.interrupted()
 	}
-	x.request.Service = service
-	if !hasTargets {
+	if !admitted.hasTargets {
 		return newRefusal(outcomeNoTarget, defaultRetryAfter)
 	}
+	if admitted.turnedAwayFor > 0 {
+		return newRefusal(outcomeTurnedAway, admitted.turnedAwayFor)
+	}
 	ctx, cancel := context.WithTimeout(x.caller.Context(), x.deadline-g.options.Now())
 	defer cancel()
 	return x.forward(ctx)
@@ -144,7 +146,8 @@
 // setDeadline sets the deadline from the shorter of the caller's and the route's
 // time-outs, or from defaultTimeout if there is neither.
 func (x *exchange) setDeadline(route *catalog.Route) {
-	timeout, ok := x.callerTimeout()
+	stated, ok := x.callerTimeout()
+	timeout := stated
 	if !ok {
 		timeout = math.MaxInt64
 	}
@@ -155,7 +158,7 @@
 		timeout = defaultTimeout
 	}
 	x.deadline = x.arrived + timeout
-	x.request = placement.Request{Route: route, Arrived: x.arrived, Deadline: x.deadline}
+	x.request = placement.Request{Route: route, Arrived: x.arrived, Deadline: x.deadline, CallerTimeout: stated}
 }
 
 // interrupted returns the response if the scheduler gave no result before anything
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/shortage"
 )
 
 // RetryBudget limits the retries and hedged requests of each service, over all
@@ -63,6 +64,11 @@
 	// true if the request is blocked from this report on, as its caller may send it to
 	// another instance at once. It must not block.
 	OnFailureReport func(report quarantine.FailureReport, urgent bool)
+	// OnDemand is called several times a second with what this instance saw of the demand
+	// for services and of their room, and Demand returns what the fleet saw, which is no
+	// longer changed. OnDemand must not block. Nil: this instance goes by what it sees itself.
+	OnDemand func([]shortage.Entry)
+	Demand   func() *[]shortage.Entry
 	// OnPanic handles a panic in the work on a request, which then ends that work only. Nil:
 	// it ends the process.
 	OnPanic contain.Handler
@@ -84,4 +90,8 @@
 	// TargetAdvice counts changes in what targets say about the requests that they want, by
 	// kind: "leaving", "retry-after", "limit" or "none".
 	TargetAdvice(kind string)
+	// Shortage sets the part of the demand for a service that is turned away, 0 to 1.
+	Shortage(service string, level float64)
+	// TurnedAway counts a request that is turned away by a shortage, by the rank of its route.
+	TurnedAway(rank int)
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -39,6 +39,7 @@
 	queuedReports   atomic.Int64
 	onFailureReport func(quarantine.FailureReport, bool)
 	metrics         Metrics
+	shortages       shortages
 }
 
 func newScheduler(o Options) *scheduler {
@@ -52,7 +53,7 @@
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
 		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
-		metrics: o.Metrics}
+		metrics: o.Metrics, shortages: newShortages(o, placer)}
 }
 
 // run handles calls until the context ends.
@@ -60,6 +61,7 @@
 	s.loop.Run(ctx, maintenanceInterval, func(now time.Duration) {
 		s.updateFleet(now)
 		s.expireReports(now)
+		s.shortages.update(now)
 	})
 }
 
@@ -107,15 +109,26 @@
 	return share
 }
 
-// admit picks a service of the route by weight and counts the request for the
-// retry budget. hasTargets is false if no target of the service takes new requests.
-func (s *scheduler) admit(ctx context.Context, route *catalog.Route) (service string, hasTargets bool, err error) {
-	hasTargets, err = owner.Call(ctx, s.loop, func(now time.Duration) bool {
-		service = s.splitter.Next(route)
-		s.retryShare(service).Request(now)
-		return s.placer.HasTargets(service)
+// admission is the decision on a request that has arrived.
+type admission struct {
+	// hasTargets is false if no target of the service takes new requests.
+	hasTargets bool
+	// turnedAwayFor is the time after which the caller should return if the request is
+	// turned away, as its service is short of room; otherwise it is 0.
+	turnedAwayFor time.Duration
+}
+
+// admit picks a service of the request's route by weight, sets it in the request, counts
+// the request for the retry budget and decides whether it is turned away.
+func (s *scheduler) admit(ctx context.Context, r *placement.Request) (admission, error) {
+	return owner.Call(ctx, s.loop, func(now time.Duration) admission {
+		r.Service = s.splitter.Next(r.Route)
+		s.retryShare(r.Service).Request(now)
+		if !s.placer.HasTargets(r.Service) {
+			return admission{}
+		}
+		return admission{hasTargets: true, turnedAwayFor: s.shortages.offer(now, r)}
 	})
-	return service, hasTargets, err
 }
 
 // sample is the result of placement.Placer.Sample.
@@ -230,7 +243,7 @@
 		return true
 	case p == hedging:
 		part = hedgeBudgetPart
-	case !r.Urgent():
+	case !s.placer.MayUseWholeRetryBudget(now, r):
 		part = ordinaryBudgetPart
 	}
 	return s.retryShare(r.Service).Take(now, s.instances(), part)
@@ -252,6 +265,9 @@
 			return reservation{}
 		}
 		s.placer.Sent(now, choice.Target.Incarnation())
+		if p == firstSend && len(r.Tried) == 0 {
+			s.placer.Started(now, r)
+		}
 		return reservation{Choice: choice, sentAt: now, ok: true}
 	})
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -159,6 +159,8 @@
 func (noMetrics) Attempt(string)                {}
 func (noMetrics) FailureReports(string, int)    {}
 func (noMetrics) TargetAdvice(string)           {}
+func (noMetrics) Shortage(string, float64)      {}
+func (noMetrics) TurnedAway(int)                {}
 
 // fixture is a gateway in front of targets.
 type fixture struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,8 @@
 	tagLimit   = "limit"
 	tagOrigin  = "origin"
 	tagWork    = "work"
+	tagService = "service"
+	tagRank    = "rank"
 )
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -37,6 +40,8 @@
 	reports  *tagged[tally.Counter]
 	advice   *tagged[tally.Counter]
 	panics   *tagged[tally.Counter]
+	turned   *tagged[tally.Counter]
+	shortage *tagged[tally.Gauge]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
 }
@@ -77,6 +82,12 @@
 	m.panics = newTagged(func(work string) tally.Counter {
 		return scope.Tagged(map[string]string{tagWork: work}).Counter("panics_total")
 	})
+	m.turned = newTagged(func(rank string) tally.Counter {
+		return scope.Tagged(map[string]string{tagRank: rank}).Counter("turned_away_total")
+	})
+	m.shortage = newTagged(func(service string) tally.Gauge {
+		return scope.Tagged(map[string]string{tagService: service}).Gauge("shortage_level")
+	})
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
 		return scope.Tagged(map[string]string{tagRoute: route}).Histogram("request_seconds", latencyBuckets)
@@ -109,6 +120,12 @@
 // TargetAdvice counts a change in what a target says about the requests that it wants.
 func (m *Metrics) TargetAdvice(kind string) { m.advice.get(kind).Inc(1) }
 
+// Shortage sets the part of the demand for a service that is turned away.
+func (m *Metrics) Shortage(service string, level float64) { m.shortage.get(service).Update(level) }
+
+// TurnedAway counts a request that is turned away by a shortage, by the rank of its route.
+func (m *Metrics) TurnedAway(rank int) { m.turned.get(strconv.Itoa(rank)).Inc(1) }
+
 // Panic counts a panic that ended only the work in which it arose.
 func (m *Metrics) Panic(work string) { m.panics.get(work).Inc(1) }
 
