shortage: trust the own reports of an instance only with enough of them

Cause: with two reports of targets with room an instance ignored the fleet's cut-off.

Change: the reports of about half a second are needed. The level is logged in whole percent.

--- a/gateway/shortages.go
+++ b/gateway/shortages.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if short {
-		s.log.Info("service is short of room", "service", service, "turned_away", cutoff.Level, "from_rank", rank)
+		s.log.Info("service is short of room", "service", service, "turned_away_percent", int(100*cutoff.Level), "from_rank", rank)
 	} else {
 		s.log.Info("service is no longer short of room", "service", service)
 	}
--- a/shortage/sums.go
+++ b/shortage/sums.go
@@ -109,8 +109,12 @@
 // failure domain different from others, below which it surely finds room.
 const roomyFullness = 0.6
 
-// HasRoom reports whether the targets that reported recently clearly have room.
-func (s Sums) HasRoom() bool { return s.Room >= minRoom && s.fullness() < roomyFullness }
+// minOwnRoom is the sum of the weights of load reports from which one instance knows
+// better than the fleet: the reports of about half a second. Fewer may have room by chance.
+const minOwnRoom = 8
+
+// HasRoom reports whether the targets that reported to one instance clearly have room.
+func (s Sums) HasRoom() bool { return s.Room >= minOwnRoom && s.fullness() < roomyFullness }
 
 // minRoom is the sum of the weights of load reports from which fullness is known. One
 // report of a full target says nothing of the others.
