placement: shorter waits for routes that give way in a shortage

Change: a request whose route gives way waits half as long. It is refused sooner, with more time left to come back, and the room goes to one that has just arrived.

The allowance of 1% in TestGoodputAtTwiceTheRoom is no longer needed.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -90,6 +90,7 @@
 	if share >= 1 {
 		return false
 	}
+	r.givesWay = true
 	refused := 1 - share
 	if waited > 0 && waited+mean+callerRoundTrip <= r.objective() {
 		refused *= refused
--- a/placement/shortage_test.go
+++ b/placement/shortage_test.go
@@ -240,8 +240,7 @@
 	}
 	full, twice, undecided := onTime(1, true), onTime(2, true), onTime(2, false)
 	t.Logf("in time: %.0f at a demand of 1.0, %.0f at 2.0, %.0f without the decision", full, twice, undecided)
-	const samplingError = 0.01
-	if twice < (1-samplingError)*full || twice < undecided {
+	if twice < full || twice < undecided {
 		t.Errorf("%.0f requests in time at twice the room, %.0f at a demand of 1.0, %.0f without the decision", twice, full, undecided)
 	}
 }
