--- a/fleet/exchange_fuzz_test.go
+++ b/fleet/exchange_fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -44,6 +45,8 @@
 		{Self: member, HasChanges: true, PackedChanges: packed[:len(packed)/2]},
 		{Strikes: []*peerapi.FleetStrike{{}, {Request: make([]byte, 16), AgeMs: 1<<32 - 1}}},
 		{Self: member, Strikes: []*peerapi.FleetStrike{{Request: make([]byte, 16)}}, StrikesDigest: proto.Uint64(1), KnownStrikes: &peerapi.FleetStrikeIDs{Ids: []uint64{0, 7}}},
+		{Self: member, Demand: []*peerapi.FleetDemand{{Service: "s", Room: float32(math.NaN())}, {Service: "s", Used: 3, Room: 3,
+			Routes: []*peerapi.FleetRouteDemand{{Route: 1, Rank: 1<<32 - 1, Requests: 1, SlotTime: 1}, {Route: 2, Requests: 1}}}}},
 	} {
 		wire, err := proto.Marshal(state)
 		if err != nil {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -176,7 +176,8 @@
 // MaxWait returns how long after its arrival a request may wait for room before
 // it is refused: slackShare of the time in which it can still meet its objective, or
 // lateWaitShare of the objective if that cannot be met at all, and givingWayShare of that
-// if its route gives way in a shortage. It never waits for room that would come too late for its deadline.
+// if its route gives way in a shortage. It never waits for room that would come too late
+// for its deadline.
 func (p *Placer) MaxWait(r *Request) time.Duration {
 	mean := p.workOf(r.Route).mean
 	useful := r.Deadline - r.Arrived - scale(mean, lastStartMargin)
