shortage: take the level from requests that found no room

Cause: the level was one less started over asked. Requests that wait and will start count as asked only, so a short queue looked like a shortage. Those turned away returned at the end of the time in which a request of mean work can still be in time, and most take longer.

Change: the level is what was refused for want of room or turned away, over that and what started. Callers return no later than they might have waited.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -63,7 +63,7 @@
 }
 
 func demandMessage(e shortage.Entry) *peerapi.FleetDemand {
-	m := &peerapi.FleetDemand{Service: e.Service, Started: float32(e.Sums.Started), Room: float32(e.Sums.Room), Used: float32(e.Sums.Used)}
+	m := &peerapi.FleetDemand{Service: e.Service, Started: float32(e.Sums.Started), Refused: float32(e.Sums.Refused), Room: float32(e.Sums.Room), Used: float32(e.Sums.Used)}
 	for _, r := range e.Sums.Routes {
 		m.Routes = append(m.Routes, &peerapi.FleetRouteDemand{Route: uint32(r.Key), Rank: uint32(r.Rank),
 			Requests: float32(r.Requests), SlotTime: float32(r.SlotTime)})
@@ -79,7 +79,7 @@
 	}
 	var list []shortage.Entry
 	for _, m := range s.GetDemand() {
-		e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()),
+		e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()), Refused: float64(m.GetRefused()),
 			Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
 		for _, r := range m.GetRoutes() {
 			e.Sums.Routes = append(e.Sums.Routes, shortage.RouteSums{Key: shortage.RouteKey(r.GetRoute()),
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -292,6 +292,11 @@
 	return maxWait, retryAfter, err
 }
 
+// recordNoRoom records that a request is refused before it was sent to any target.
+func (s *scheduler) recordNoRoom(r *placement.Request) {
+	s.loop.Post(func(now time.Duration) { s.placer.FoundNoRoom(now, r) })
+}
+
 // startWaiting reports whether a request that found no capacity may wait for it. If
 // so, stopWaiting must be called.
 func (s *scheduler) startWaiting(ctx context.Context, r *placement.Request) (bool, error) {
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -69,13 +69,19 @@
 			return selection{reservation: reserved}
 		}
 		noRoom := selection{refusal: newRefusal(outcomeNoRoom, retryAfter), reports: reports}
-		if p != firstSend || max(pause, reserved.heldBackFor) > r.Arrived+maxWait-g.options.Now() {
+		if p != firstSend {
 			return noRoom
 		}
-		if !waiting {
-			if waiting, err = g.scheduler.startWaiting(ctx, r); err != nil || !waiting {
-				return noRoom
+		mayWait := max(pause, reserved.heldBackFor) <= r.Arrived+maxWait-g.options.Now()
+		if mayWait && !waiting {
+			waiting, err = g.scheduler.startWaiting(ctx, r)
+			mayWait = err == nil && waiting
+		}
+		if !mayWait {
+			if len(r.Tried) == 0 {
+				g.scheduler.recordNoRoom(r)
 			}
+			return noRoom
 		}
 		backoff.Sleep(ctx, pause)
 	}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -95,18 +95,27 @@
 	if waited > 0 && waited+mean+callerRoundTrip <= r.objective() {
 		refused *= refused
 	}
-	return p.random.Float64() < refused
+	if p.random.Float64() >= refused {
+		return false
+	}
+	p.FoundNoRoom(now, r)
+	return true
+}
+
+// FoundNoRoom records that a request is refused before it was sent to any target.
+func (p *Placer) FoundNoRoom(now time.Duration, r *Request) {
+	p.demand.see(now, r.Service, shortage.Sums{Refused: p.workOf(r.Route).mean.Seconds()})
 }
 
 // TurnedAwayFor returns the time after which a caller should return whose request was turned
-// away: late in the time in which its objective can still be met, since the shortage may
-// have eased by then, or else anywhere in the first half of the time that it has left. It
-// is randomized, so that callers do not return all at once.
+// away: in the time in which its objective can still be met, as late as it might have waited
+// for room, or else anywhere in the first half of the time that it has left. It is
+// randomized, so that callers do not return all at once.
 func (p *Placer) TurnedAwayFor(now time.Duration, r *Request) time.Duration {
 	mean := p.workOf(r.Route).mean
 	first, last := mean, scale(r.Deadline-now, maxWaitShare)
 	if useful := r.Arrived + r.objective() - mean - callerRoundTrip - now; useful > 0 {
-		first, last = useful/2, useful
+		first, last = scale(useful, slackShare/2), scale(useful, slackShare)
 	}
 	return first + time.Duration(p.random.Float64()*float64(max(0, last-first)))
 }
--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -30,7 +30,7 @@
 // shortFigure returns a figure of the fleet by which two thirds of the demand find no room.
 func shortFigure() []shortage.Entry {
 	s := shortage.Request(shortage.KeyOf("a"), 0, time.Second).Plus(shortage.Request(shortage.KeyOf("c"), 2, 4*time.Second))
-	s.Started, s.Room, s.Used = 1600, 10000, 10000
+	s.Started, s.Refused, s.Room, s.Used = 1600, 3400, 10000, 10000
 	for i := range s.Routes {
 		s.Routes[i].Requests, s.Routes[i].SlotTime = 1000*s.Routes[i].Requests, 1000*s.Routes[i].SlotTime
 	}
@@ -65,7 +65,7 @@
 	for i, lacks := range []time.Duration{0, 100 * time.Millisecond} {
 		p := newPlacer(newTarget("a", "near"))
 		figure := shortFigure()
-		figure[0].Sums.Started = 3000 // three fifths find room
+		figure[0].Sums.Started, figure[0].Sums.Refused = 3000, 2000
 		p.SetDemand(0, figure)
 		counts[i] = turnedAway(p, func(n int) time.Duration {
 			if n == 0 {
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -159,6 +159,7 @@
 	}
 	if now+r.pause-r.request.Arrived > p.MaxWait(&r.request) || !r.waiting && !p.StartWaiting(now, &r.request) {
 		f.stopWaiting(r)
+		p.FoundNoRoom(now, &r.request)
 		f.comeBack(now, r, p.RetryAfter(&r.request, false))
 		return true
 	}
--- a/shortage/cutoff.go
+++ b/shortage/cutoff.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// admittedPerStart is the slot time that is admitted for each second of it that
-	// starts. Some requests must wait for room, or freed slots would stay unused; much more
-	// would wait in vain.
-	admittedPerStart = 1.0
 	// shortFullness and fullFullness bound the range of fullness in which a cut-off comes
 	// into force. Below, a request that asks a few targets finds room at one of them; above,
 	// almost none does.
@@ -50,11 +46,11 @@
 // service with a single such group gets no cut-off: there is nothing to choose.
 func NewCutoff(s Sums) Cutoff {
 	demand := s.SlotTime()
-	if demand == 0 {
+	if demand == 0 || s.Refused == 0 {
 		return Cutoff{}
 	}
 	inForce := min(1, max(0, (s.fullness()-shortFullness)/(fullFullness-shortFullness)))
-	level := inForce * (1 - admittedPerStart*s.Started/demand)
+	level := inForce * s.Refused / (s.Started + s.Refused)
 	groups := groupsOf(s.Routes)
 	if level < minLevel || len(groups) < 2 {
 		return Cutoff{}
--- a/shortage/cutoff_test.go
+++ b/shortage/cutoff_test.go
@@ -11,7 +11,7 @@
 // targets that are this full.
 func short(started, fullness float64) Sums {
 	s := Request(1, 0, time.Second).Plus(Request(2, 1, time.Second)).Plus(Request(3, 1, 2*time.Second))
-	s.Started, s.Room, s.Used = started*s.SlotTime(), 100, 100*fullness
+	s.Started, s.Refused, s.Room, s.Used = started*s.SlotTime(), (1-started)*s.SlotTime(), 100, 100*fullness
 	return s
 }
 
@@ -42,7 +42,7 @@
 	noReports.Room, noReports.Used = 1, 1
 	is.Equal(NewCutoff(noReports).Level, 0.0)
 	single := Request(1, 1, time.Second).Plus(Request(2, 1, time.Second))
-	single.Room, single.Used = 100, 100
+	single.Refused, single.Room, single.Used = 1, 100, 100
 	is.Equal(NewCutoff(single).Level, 0.0)
 }
 
--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -98,7 +98,7 @@
 // changed returns s - before + after, without sums below zero.
 func (s Sums) changed(before, after Sums) Sums {
 	sum := combine(combine(before, -1, after), 1, s)
-	sum.Started, sum.Room, sum.Used = max(0, sum.Started), max(0, sum.Room), max(0, sum.Used)
+	sum.Started, sum.Refused, sum.Room, sum.Used = max(0, sum.Started), max(0, sum.Refused), max(0, sum.Room), max(0, sum.Used)
 	for i := range sum.Routes {
 		r := &sum.Routes[i]
 		r.Requests, r.SlotTime = max(0, r.Requests), max(0, r.SlotTime)
--- a/shortage/sums.go
+++ b/shortage/sums.go
@@ -26,6 +26,9 @@
 	// Started is the slot time in seconds that requests were expected to use that were
 	// sent to a target for the first time.
 	Started float64
+	// Refused is that of requests that were refused because they found no room or were
+	// turned away.
+	Refused float64
 	// Room weighs each load report with the speed of its target. Used is the part of it in
 	// use, of the requests with which the target has its highest throughput.
 	Room, Used float64
@@ -53,7 +56,7 @@
 
 // combine returns weight times a + b. Where both know a route, it has the rank of b.
 func combine(a Sums, weight float64, b Sums) Sums {
-	sum := Sums{Started: weight*a.Started + b.Started, Room: weight*a.Room + b.Room, Used: weight*a.Used + b.Used,
+	sum := Sums{Started: weight*a.Started + b.Started, Refused: weight*a.Refused + b.Refused, Room: weight*a.Room + b.Room, Used: weight*a.Used + b.Used,
 		Routes: make([]RouteSums, 0, max(len(a.Routes), len(b.Routes)))}
 	for i, j := 0, 0; (i < len(a.Routes) || j < len(b.Routes)) && len(sum.Routes) < maxRoutes; {
 		var r RouteSums
@@ -134,7 +137,7 @@
 	plausible := func(list ...float64) bool {
 		return !slices.ContainsFunc(list, func(x float64) bool { return !(x >= 0 && x < maxSum) })
 	}
-	return len(s.Routes) <= maxRoutes && plausible(s.Started, s.Room, s.Used) &&
+	return len(s.Routes) <= maxRoutes && plausible(s.Started, s.Refused, s.Room, s.Used) &&
 		!slices.ContainsFunc(s.Routes, func(r RouteSums) bool { return !plausible(r.Requests, r.SlotTime) }) &&
 		slices.IsSortedFunc(s.Routes, func(a, b RouteSums) int { return cmp.Compare(a.Key, b.Key) })
 }
