gateway: probes bear no request ID

A target that starts again at the same address under the same ID passes the check of the expected target.

Probes still name their target and bear no ID any more: targets run nothing without one and answer 400 with the statement that it was not run. Such an answer shows that the target is alive; without a load report it counts as idle. Late responses to requests are still skipped on the connection, as they bear an ID. Ruled out: waiting for the target's new entry, since the probe may be on its way already.

--- a/gateway/select.go
+++ b/gateway/select.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
@@ -181,7 +180,7 @@
 	}
 	answer := probeAnswer{advice: d.ParseAdvice(response.StatusCode, response.Header), advised: true, sentAt: sentAt}
 	switch {
-	case response.StatusCode == http.StatusOK:
+	case response.StatusCode == http.StatusOK || doesNotKnowPath(d, response):
 		answer.result = placement.ProbeWell
 	case hasLoad && response.Header.Get(d.TargetID) != "": // a target without a load report gives no reason to doubt its answer
 		answer.result = placement.ProbeIll
@@ -193,16 +192,16 @@
 }
 
 // probe sends a probe and returns the response, whose body it has read. It fails if
-// no complete response, or one with maxProbeBytes, arrives within probeTimeout. The probe names its target: another
-// one that has got the address may have another path for probes, and would run it as a
-// request.
+// no complete response, or one with maxProbeBytes, arrives within probeTimeout. The probe
+// names its target: another one that has got the address rejects it. It bears no ID, since
+// the target itself may have started again with another path for probes, and would run
+// what bears one as a request.
 func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, newConnection bool) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	d := &g.options.Dialect
-	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
 	response, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
-		Header: http.Header{d.RequestID: {id}, d.ExpectedTarget: {t.ID}}, EchoHeader: d.RequestID, NewConnection: newConnection})
+		Header: http.Header{d.ExpectedTarget: {t.ID}}, EchoHeader: d.RequestID, NewConnection: newConnection})
 	if err != nil {
 		return nil, err
 	}
@@ -211,6 +210,12 @@
 	return response, err
 }
 
+// doesNotKnowPath reports whether a response to a probe is of a target that has another path
+// for probes: it states that it runs no request without an ID.
+func doesNotKnowPath(d *Dialect, response *http.Response) bool {
+	return response.StatusCode == http.StatusBadRequest && response.Header.Get(d.NotRun) != ""
+}
+
 // isFrom reports whether a response to a probe is from the target, as far as it tells.
 func isFrom(d *Dialect, response *http.Response, t *catalog.Target) bool {
 	if response.StatusCode == http.StatusMisdirectedRequest {
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -52,8 +52,10 @@
 	listener net.Listener
 	// replaced is true once another target has the address, with another path for probes.
 	replaced atomic.Bool
-	load     atomic.Value // string
-	health   atomic.Int32 // status of probes
+	// healthPath is the path for probes.
+	healthPath atomic.Value // string
+	load       atomic.Value // string
+	health     atomic.Int32 // status of probes
 	// healthBody is the body of the response to a probe.
 	healthBody string
 	// serve answers a request other than a probe, and reports whether the connection
@@ -76,6 +78,7 @@
 		t.Fatal(err)
 	}
 	s := &target{id: id, listener: listener, serve: serve, conns: make(map[net.Conn]bool)}
+	s.healthPath.Store("/health")
 	s.load.Store("0,0,4")
 	s.health.Store(http.StatusOK)
 	s.done.Go(s.accept)
@@ -116,7 +119,7 @@
 		if err != nil {
 			return
 		}
-		if r.URL.Path == "/health" && !s.replaced.Load() {
+		if r.URL.Path == s.healthPath.Load() && !s.replaced.Load() {
 			s.probes.Add(1)
 			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), s.healthBody)
 			continue
@@ -166,7 +169,9 @@
 	server  *httptest.Server
 	view    atomic.Pointer[catalog.View]
 	targets []*target
-	panics  atomic.Int64 // contained ones
+	// healthPath is the path for probes in the configuration.
+	healthPath string
+	panics     atomic.Int64 // contained ones
 	// isolated is the result of Options.Isolated.
 	isolated atomic.Bool
 	// failureReports receives the reports for other instances.
@@ -196,7 +201,7 @@
 
 // startUnconfigured starts a gateway without a configuration.
 func startUnconfigured(t *testing.T, targets ...*target) *fixture {
-	f := &fixture{targets: targets, failureReports: make(chan quarantine.FailureReport, 100)}
+	f := &fixture{targets: targets, healthPath: "/health", failureReports: make(chan quarantine.FailureReport, 100)}
 	f.view.Store(&catalog.View{})
 	begin := time.Now()
 	f.gateway = gateway.New(gateway.Options{Dialect: dialect, FailureDomain: "z", View: f.view.Load,
@@ -224,7 +229,7 @@
 
 func (f *fixture) configure(limits catalog.Limits) {
 	config := &catalog.Config{Version: 1, Routes: routes(), Limits: limits,
-		Services: map[string]catalog.Service{"s": {Name: "s", HealthPath: "/health", MaxConnections: 100}}}
+		Services: map[string]catalog.Service{"s": {Name: "s", HealthPath: f.healthPath, MaxConnections: 100}}}
 	list := make([]*catalog.Target, len(f.targets))
 	for i, s := range f.targets {
 		list[i] = &catalog.Target{ID: s.id, Address: s.listener.Addr().String(), FailureDomain: "z", Service: "s", Slots: 4}
