gateway: probe on the path in force, and not without one

A service may have no path for probes of its own. Its targets then got probes and crash checks on "/" and ran them as requests, or rejected them and counted as silent. Cause: the path came from the view of the request, with a default.

The path is that of the configuration in force. Without one the choice is made from predicted loads, which count all requests of this instance in flight, and a crash check looks whether the target accepts a connection, without a byte sent.

TestTargetWithoutHealthPathGetsNoProbes and TestProbesUseThePathInForce failed before. TestTargetWithoutHealthPathIsNotOverloaded and TestRetryAfterAnEntryChangedNamesItsTarget held already.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"log/slog"
+	"net"
 	"strings"
 	"time"
 
@@ -115,7 +116,7 @@
 	g, t := x.gateway, a.Target
 	report := x.report(t)
 	report.AfterFailure = a.afterFailure
-	ctx, path := context.WithoutCancel(x.caller.Context()), x.healthPath(t)
+	ctx := context.WithoutCancel(x.caller.Context())
 	request := x.identityAttrs(report, t)
 	g.crashChecks.Add(1)
 	go func() {
@@ -123,7 +124,7 @@
 		defer done()
 		backoff.Sleep(ctx, crashCheckDelay)
 		_ = contain.Run("crash check", g.options.OnPanic, func() {
-			if g.isDown(ctx, t, path, broken) {
+			if g.isDown(ctx, t, broken) {
 				g.scheduler.recordCrash(report, request)
 			} else if broken {
 				g.options.Log.LogAttrs(ctx, slog.LevelInfo, "target answers after a broken attempt; no failure report", request...)
@@ -162,20 +163,33 @@
 
 // isDown reports whether a target is down after an attempt. If the attempt broke, one that
 // answers no probe is. If the connection stayed open, the target may only be slow: then it
-// must not accept connections either.
-func (g *Gateway) isDown(ctx context.Context, t *catalog.Target, path string, broken bool) bool {
-	response, err := g.probe(ctx, t, path, false)
-	if err == nil {
+// must not accept connections either. That alone counts without a path for probes.
+func (g *Gateway) isDown(ctx context.Context, t *catalog.Target, broken bool) bool {
+	response, err := g.probe(ctx, t, false)
+	switch {
+	case err == nil:
 		return !isFrom(&g.options.Dialect, response, t)
-	}
-	if broken {
+	case errors.Is(err, errNoHealthPath):
+		return !accepts(ctx, t)
+	case broken:
 		return true
 	}
-	_, err = g.probe(ctx, t, path, true)
+	_, err = g.probe(ctx, t, true)
 	var failed *transport.Error
 	return errors.As(err, &failed) && failed.Step == transport.StepConnect
 }
 
+// accepts reports whether a target accepts a connection. Nothing is sent on it.
+func accepts(ctx context.Context, t *catalog.Target) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // recordCrash adds a report that a target was down after it got a request, and
 // passes it to the other instances. request holds the log fields of the request.
 func (s *scheduler) recordCrash(report quarantine.FailureReport, request []slog.Attr) {
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
@@ -31,6 +33,9 @@
 	maxProbeBytes = 4 << 10
 )
 
+// errNoHealthPath is the failure of a probe that was not sent.
+var errNoHealthPath = errors.New("the service has no path for probes")
+
 // selection is either a reserved target or the refusal if none was found.
 type selection struct {
 	reservation
@@ -83,9 +88,13 @@
 func (x *exchange) stoppedRefusal() *response { return newRefusal(outcomeStopped, defaultRetryAfter) }
 
 // collectReports probes targets of this failure domain and, unless one of them is
-// good, of others. It returns predicted reports if the probe budget allows no probe.
+// good, of others. It returns predicted reports if the probe budget allows no probe, or the
+// service has no path for probes.
 func (x *exchange) collectReports(ctx context.Context, r *placement.Request, waiting bool) ([]placement.Report, error) {
 	g := x.gateway
+	if _, ok := g.healthPath(r.Service); !ok {
+		return g.scheduler.predictedReports(ctx, r)
+	}
 	local, err := g.scheduler.sampleTargets(ctx, r, false, waiting)
 	if err != nil {
 		return nil, err
@@ -116,7 +125,7 @@
 	}
 	for _, t := range targets {
 		go func() {
-			_ = contain.Run("probe", x.gateway.options.OnPanic, func() { x.gateway.probeAndRecord(ctx, t, x.healthPath(t), received) })
+			_ = contain.Run("probe", x.gateway.options.OnPanic, func() { x.gateway.probeAndRecord(ctx, t, received) })
 		}()
 	}
 	timer := time.NewTimer(wait)
@@ -136,18 +145,19 @@
 	return reports
 }
 
-// healthPath returns the path for probes of a target.
-func (x *exchange) healthPath(t *catalog.Target) string {
-	if service, ok := x.view.Config.Services[t.Service]; ok && service.HealthPath != "" {
-		return service.HealthPath
+// healthPath returns the path for probes of a service's targets in the configuration in
+// force. ok is false if there is none.
+func (g *Gateway) healthPath(service string) (path string, ok bool) {
+	if config := g.options.View().Config; config != nil {
+		path = config.Services[service].HealthPath
 	}
-	return "/"
+	return path, path != ""
 }
 
 // probeAndRecord probes a target, passes the answer to the scheduler, and sends its
 // report to reports unless that would block.
-func (g *Gateway) probeAndRecord(ctx context.Context, t *catalog.Target, path string, reports chan<- placement.Report) {
-	answer := g.sendProbe(ctx, t, path)
+func (g *Gateway) probeAndRecord(ctx context.Context, t *catalog.Target, reports chan<- placement.Report) {
+	answer := g.sendProbe(ctx, t)
 	g.scheduler.recordProbe(t.Incarnation(), answer)
 	select {
 	case reports <- answer.report:
@@ -168,9 +178,9 @@
 // sendProbe probes a target. The result is ProbeSilent if no complete response
 // arrives within probeTimeout, or if the response names another target. The end of
 // the request that needs the probe does not cancel it.
-func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target, path string) probeAnswer {
+func (g *Gateway) sendProbe(ctx context.Context, t *catalog.Target) probeAnswer {
 	d, sentAt := &g.options.Dialect, g.options.Now()
-	response, err := g.probe(ctx, t, path, false)
+	response, err := g.probe(ctx, t, false)
 	if err != nil || !isFrom(d, response, t) {
 		return probeAnswer{}
 	}
@@ -192,11 +202,15 @@
 }
 
 // probe sends a probe and returns the response, whose body it has read. It fails if
-// no complete response, or one with maxProbeBytes, arrives within probeTimeout. The probe
+// the service has no path for probes any more, or if no complete response, or one with maxProbeBytes, arrives within probeTimeout. The probe
 // names its target: another one that has got the address rejects it. It bears no ID, since
 // the target itself may have started again with another path for probes, and would run
 // what bears one as a request.
-func (g *Gateway) probe(ctx context.Context, t *catalog.Target, path string, newConnection bool) (*http.Response, error) {
+func (g *Gateway) probe(ctx context.Context, t *catalog.Target, newConnection bool) (*http.Response, error) {
+	path, ok := g.healthPath(t.Service)
+	if !ok {
+		return nil, errNoHealthPath
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	d := &g.options.Dialect
--- a/gateway/unasked_test.go
+++ b/gateway/unasked_test.go
@@ -4,8 +4,11 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 )
 
 // runNamed runs what names the target and bears an id, as targets do.
@@ -61,3 +64,97 @@
 	is.True(f.ranOnly("caller"))
 	is.Equal(len(f.failureReports), 0)
 }
+
+// Guards against probes and crash checks of a service without a path for them, which its
+// targets run as requests.
+func TestTargetWithoutHealthPathGetsNoProbes(t *testing.T) {
+	for name, serve := range map[string]func(*target, net.Conn, *http.Request, []byte) bool{
+		"served": run,
+		"broken": func(s *target, _ net.Conn, _ *http.Request, _ []byte) bool { s.ran.Add(1); return false },
+		"crash": func(s *target, c net.Conn, r *http.Request, _ []byte) bool {
+			return crash(s, c, r, []byte("crash"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startUnconfigured(t, startTarget(t, "a", serve))
+			f.healthPath = ""
+			f.configure(catalog.Limits{})
+			status := f.send(t, "POST", "/unsafe/x", "", "Id", "caller").status
+			f.gateway.AwaitCrashChecks(t.Context())
+			is.Equal(status == 200, name == "served")
+			is.Equal(len(f.targets[0].received()), 1)
+			is.True(f.ranOnly("caller"))
+			is.Equal(len(f.failureReports) > 0, name == "crash")
+		})
+	}
+}
+
+// Guards against requests beyond the slots of a target that reports no load: it may never
+// answer them.
+func TestTargetWithoutHealthPathIsNotOverloaded(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}, 8), make(chan struct{})
+	f := startUnconfigured(t, startTarget(t, "a", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		begun <- struct{}{}
+		<-release
+		return run(s, c, r, body)
+	}))
+	f.healthPath = ""
+	f.configure(catalog.Limits{})
+	statuses := make(chan int, 4)
+	for range 4 { // slots
+		go func() { statuses <- f.send(t, "POST", "/unsafe/x", "").status }()
+		<-begun
+	}
+	is.Equal(f.send(t, "POST", "/unsafe/x", "", "Deadline-Ms", "100").status, 503)
+	close(release)
+	for range 4 {
+		is.Equal(<-statuses, 200)
+	}
+}
+
+// Guards against a waiting request that probes targets on a path that the configuration has
+// replaced meanwhile.
+func TestProbesUseThePathInForce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, startTarget(t, "a", runNamed))
+	target := f.targets[0]
+	target.load.Store("4,8,4")
+	status := make(chan int, 1)
+	go func() { status <- f.send(t, "POST", "/unsafe/x", "", "Id", "caller").status }()
+	for target.probes.Load() < 2 { // the second probe is of a request that waits
+		time.Sleep(time.Millisecond)
+	}
+	f.healthPath = "/alive"
+	f.configure(catalog.Limits{})
+	target.healthPath.Store("/alive")
+	seen := target.probes.Load()
+	for target.probes.Load() < seen+2 && len(status) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	target.load.Store("0,0,4")
+	is.Equal(<-status, 200)
+	is.True(f.ranOnly("caller"))
+	is.True(target.probes.Load() >= seen+2)
+}
+
+// Guards against a retry after a rejection that names the target which had the address before,
+// or bears another ID than the caller's.
+func TestRetryAfterAnEntryChangedNamesItsTarget(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	f = start(t, startTarget(t, "a", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+		if s.id == "a" { // the entry changes after the send
+			s.id = "b"
+			f.configure(catalog.Limits{})
+		}
+		return runNamed(s, c, r, body)
+	}))
+	is.Equal(f.send(t, "POST", "/unsafe/x", "", "Id", "caller").status, 200)
+	requests := f.targets[0].received()
+	is.Equal(len(requests), 2)
+	is.Equal(requests[0].Header.Get("Expected"), "a")
+	is.Equal(requests[1].Header.Get("Expected"), "b")
+	is.True(f.ranOnly("caller"))
+}
