gateway: a response without memory is no failure of its target

When the memory for long responses was used up, a target that had answered counted as broken: it was suspended, checked for a crash, and the request was run again at other targets, whose responses did not fit either. With slow callers holding that memory all targets of a service were suspended.

Such an attempt has an outcome of its own, "no-memory": it says nothing about the target, and the request is not sent again.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,7 +56,8 @@
 	attemptBroken    attemptOutcome = "broken"  // no response, or an incomplete or invalid one
 	attemptUnsigned  attemptOutcome = "spoiled" // success without the target's signature
 	attemptTimedOut  attemptOutcome = "timed-out"
-	attemptCancelled attemptOutcome = "ended" // cancelled: the caller is gone or another attempt gave the response
+	attemptNoMemory  attemptOutcome = "no-memory" // this instance had no memory for the response
+	attemptCancelled attemptOutcome = "ended"     // cancelled: the caller is gone or another attempt gave the response
 )
 
 // didNotRun reports whether the attempt certainly did not run the request, so
@@ -89,6 +90,8 @@
 	switch {
 	case errors.As(err, &failed) && failed.NotSent:
 		e.outcome = attemptNotSent
+	case errors.Is(err, segments.ErrNoMemory):
+		e.outcome = attemptNoMemory
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
 		e.outcome = attemptTimedOut
 	case ctx.Err() != nil:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -226,6 +226,9 @@
 	if r.selecting || r.ctx.Err() != nil {
 		return false
 	}
+	if r.countAttempts(func(a *attempt) bool { return a.outcome == attemptNoMemory }) > 0 {
+		return false // another target's response would not fit either
+	}
 	runs := r.possibleRuns()
 	if !r.request.Route.Idempotent && runs > 0 {
 		return false
