callerconn: bound the send buffer of callers' connections

The send buffer is now 1/4096 of the instance's memory limit, within 32 and 256 KiB. Bytes in it are bounded for each connection, and still not counted.

--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,9 @@
 	limits  func() Limits
 	expired func(Expiry)
 	headers headerMemory
+	// sendBuffer is the size of the send buffer of a connection in bytes, 0 for the default
+	// of the system.
+	sendBuffer atomic.Int64
 
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState // of the open connections
@@ -40,6 +44,11 @@
 // it is closed. 0, the default, means no bound.
 func (c *Conns) SetHeaderMemory(bytes int64) { c.headers.limit.Store(bytes) }
 
+// SetSendBuffer bounds the memory of the system for what a caller has not yet received, in
+// bytes for each connection that is accepted from now on. 0, the default, leaves it to the
+// system, which may hold several MB for a slow caller.
+func (c *Conns) SetSendBuffer(bytes int64) { c.sendBuffer.Store(bytes) }
+
 // Listener returns a listener that wraps the connections of l in a Conn.
 func (c *Conns) Listener(l net.Listener) net.Listener { return &connListener{Listener: l, conns: c} }
 
@@ -54,6 +63,9 @@
 	if err != nil {
 		return nil, err // not wrapped: net/http checks for temporary errors and retries
 	}
+	if size, ok := raw.(interface{ SetWriteBuffer(int) error }); ok && l.conns.sendBuffer.Load() > 0 {
+		_ = size.SetWriteBuffer(int(l.conns.sendBuffer.Load())) // fails only if the connection is closed, as its reads then do
+	}
 	return newConn(raw, l.conns.limits, l.conns.expired, &l.conns.headers), nil
 }
 
--- a/node/memory.go
+++ b/node/memory.go
@@ -12,8 +12,19 @@
 	// collects garbage in any case. The rest is for memory that the runtime does not
 	// manage, and for what is allocated while a collection runs.
 	runtimeMemoryShare = 0.8
+	// sendBufferShare is the share that the send buffer of one caller's connection may hold, and
+	// minSendBuffer and maxSendBuffer bound its size in bytes: with less an ordinary caller
+	// waits for round trips, and with more a slow one is seen late.
+	sendBufferShare = 1.0 / 4096
+	minSendBuffer   = 32 << 10
+	maxSendBuffer   = 256 << 10
 )
 
+// sendBufferBytes returns the size of the send buffer of a caller's connection.
+func (s *Settings) sendBufferBytes() int64 {
+	return min(maxSendBuffer, max(minSendBuffer, int64(sendBufferShare*float64(s.MemoryBytes))))
+}
+
 // exchangeBytes returns the memory for requests in progress.
 func (s *Settings) exchangeBytes() int64 { return int64(exchangeMemoryShare * float64(s.MemoryBytes)) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -122,6 +122,7 @@
 		func() callerconn.Limits { return connectionLimits(n.fleet.View().Config) },
 		func(limit callerconn.Expiry) { n.metrics.ConnectionExpired(string(limit)) })
 	conns.SetHeaderMemory(n.options.Settings.headerBytes())
+	conns.SetSendBuffer(n.options.Settings.sendBufferBytes())
 	return conns
 }
 
