gateway: bound the long request bodies in flight to one target

What a target can hold is not known; slots and load reports count requests, not bytes.

Bodies longer than 64 KiB in flight from one instance to one target are bounded by 1 MiB together; a single longer one is sent. Other targets are chosen, or the request waits for room or is refused as usual. Short bodies and requests without a body take none of it. Ruled out: one long body at a time, which leaves most slots of a service with uploads unused.

TestLongBodiesToOneTargetAreBounded failed before: its third body was sent.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -34,6 +34,7 @@
 		g.options.Log.Warn("set read deadline for request body failed; reading without one", "id", x.id, "error", err.Error())
 	}
 	err := x.body.Fill(x.caller.Body, length, limit, memory.reserve)
+	x.bodyBytes = x.body.Len()
 	switch {
 	case err == nil:
 		// The deadline is not cleared after an error, so that net/http does not
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,6 +46,7 @@
 	view       *catalog.View
 	request    placement.Request
 	body       segments.Buffer
+	bodyBytes  int64      // the length of body
 	memory     memoryHold // of the exchange with the bodies of the request and of responses
 	attempts   []*attempt
 	response   *response
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -127,6 +127,7 @@
 
 // release gives up a reserved target to which the request was not sent.
 func (r *forwarder) release(res reservation) {
+	r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
 	r.gateway.scheduler.recordEnd(res, r.request.Route, placement.Outcome{}, placement.Load{})
 }
 
@@ -156,6 +157,7 @@
 		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = r.send(r.ctx, outgoing) }); err != nil {
 			e = attemptEnd{outcome: attemptBroken, err: err, endedAt: r.gateway.options.Now()}
 		}
+		r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
 		if e.advised {
 			r.gateway.scheduler.recordAdvice(res, e.advice)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,7 +36,8 @@
 	stopEnd          atomic.Int64 // argument of Stop; valid once stopping is true
 	refusing         atomic.Bool
 	memory           *memoryLimit // of exchanges
-	connectionLimits sync.Map     // by address, int
+	targetBodies     targetBodies
+	connectionLimits sync.Map // by address, int
 	inFlight         atomic.Int64
 	crashChecks      atomic.Int64 // in progress
 	// configured is closed when the first configuration arrives.
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -65,10 +65,15 @@
 		if err != nil {
 			return selection{refusal: x.stoppedRefusal()}
 		}
+		reports = g.targetBodies.withRoom(reports, x.bodyBytes)
 		reserved, err := g.scheduler.choose(ctx, r, reports, p)
 		if err != nil {
 			return selection{refusal: x.stoppedRefusal()}
 		}
+		if reserved.ok && !g.targetBodies.take(reserved.Target.Incarnation(), x.bodyBytes) { // taken since
+			g.scheduler.recordEnd(reserved, r.Route, placement.Outcome{}, placement.Load{})
+			reserved = reservation{}
+		}
 		if reserved.ok {
 			return selection{reservation: reserved}
 		}
