gateway: give back the memory of responses that callers read slowly

A response held its memory, and its request's body, until the caller had read all of it.

The request's body is given back before the response is written, and the response segment by segment as it is written. When a reservation fails, the response of the slowest caller is cut, those of callers that hold over a quarter of the memory first; without a slow caller the new request is refused as before. A cut response has its full length in the head and its connection is closed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,10 +71,14 @@
 	resp, err := g.client.Do(ctx, request)
 	if err == nil {
 		var body segments.Buffer
-		err = x.readResponse(request, resp, &body)
-		_ = resp.Body.Close() // readResponse has already detected an incomplete body
+		memory := x.memory.newResponseBody(request.Target)
+		err = body.Fill(resp.Body, resp.ContentLength, maxResponseBytes, memory.reserve)
+		_ = resp.Body.Close() // Fill has already detected an incomplete body
 		if err == nil {
 			e := x.classify(resp, &body)
+			if e.response != nil {
+				e.response.memory = memory
+			}
 			e.endedAt = g.options.Now()
 			if load, ok := g.options.Dialect.ParseLoad(resp.Header.Get(g.options.Dialect.Load)); ok {
 				e.load = load
@@ -168,10 +172,3 @@
 	}
 	return r
 }
-
-// readResponse reads the body of a response. It fails if the body exceeds
-// maxResponseBytes, or the memory for it is used up.
-func (x *exchange) readResponse(request *transport.Attempt, resp *http.Response, body *segments.Buffer) error {
-	memory := x.memory.newResponseBody(request.Target)
-	return body.Fill(resp.Body, resp.ContentLength, maxResponseBytes, memory.reserve)
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,7 +53,8 @@
 	if o.Isolated == nil {
 		o.Isolated = func() bool { return false }
 	}
-	g := &Gateway{options: o, scheduler: newScheduler(o), memory: newMemoryLimit(o.MemoryBytes), configured: make(chan struct{})}
+	g := &Gateway{options: o, scheduler: newScheduler(o), configured: make(chan struct{})}
+	g.memory = newMemoryLimit(o.MemoryBytes, o.Now)
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
 		ConnectionLimit: g.connectionLimit})
 	return g
@@ -95,6 +96,9 @@
 // SetMemoryBytes replaces Options.MemoryBytes.
 func (g *Gateway) SetMemoryBytes(limit int64) { g.memory.setLimit(limit) }
 
+// MemoryInUse returns the bytes that exchanges hold now, of Options.MemoryBytes.
+func (g *Gateway) MemoryInUse() int64 { return g.memory.inUse() }
+
 // AddFailureReports adds failure reports from other instances.
 func (g *Gateway) AddFailureReports(list []quarantine.FailureReport) {
 	g.scheduler.addFailureReports(list)
@@ -130,7 +134,7 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if the
-// caller is gone.
+// caller is gone or has not got the whole response.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
@@ -142,8 +146,10 @@
 		g.writeResponse(w, x, resp)
 	}
 	x.logRequest()
-	if resp == nil {
-		panic(http.ErrAbortHandler) // closes the connection; net/http answers 200 if the handler just returns
+	if resp == nil || x.writeErr != nil {
+		// Closes the connection. If the handler just returned, net/http would answer 200 if
+		// there is no response, and could write more of one that is not complete.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
@@ -33,6 +34,10 @@
 	limit               int64
 	used                int64
 	requests, responses longBodies
+	// deliveries are the responses that are written to callers at present. When memory runs
+	// out, those of slow callers are cut.
+	deliveries []*delivery
+	now        func() time.Duration
 }
 
 // longBodies is the part of the memory that is used for the parts of bodies beyond
@@ -45,8 +50,8 @@
 	owners map[string]int64
 }
 
-func newMemoryLimit(bytes int64) *memoryLimit {
-	l := &memoryLimit{requests: longBodies{owners: make(map[string]int64)}, responses: longBodies{owners: make(map[string]int64)}}
+func newMemoryLimit(bytes int64, now func() time.Duration) *memoryLimit {
+	l := &memoryLimit{now: now, requests: longBodies{owners: make(map[string]int64)}, responses: longBodies{owners: make(map[string]int64)}}
 	l.setLimit(bytes)
 	return l
 }
@@ -83,11 +88,16 @@
 	l.owners[b.owner] += n
 }
 
-// end gives the bytes of a body back.
-func (l *longBodies) end(b *bodyMemory) {
-	l.bodies = slices.DeleteFunc(l.bodies, func(other *bodyMemory) bool { return other == b })
-	l.bytes -= b.long
-	if l.owners[b.owner] -= b.long; l.owners[b.owner] == 0 {
+// shrink gives n bytes of a body back.
+func (l *longBodies) shrink(b *bodyMemory, n int64) {
+	if n == 0 {
+		return
+	}
+	if b.long -= n; b.long == 0 {
+		l.bodies = slices.DeleteFunc(l.bodies, func(other *bodyMemory) bool { return other == b })
+	}
+	l.bytes -= n
+	if l.owners[b.owner] -= n; l.owners[b.owner] == 0 {
 		delete(l.owners, b.owner)
 	}
 }
@@ -110,9 +120,14 @@
 }
 
 func (h *memoryHold) reserveLocked(n int64) bool {
-	if h.released || h.limit.used+n > h.limit.limit {
+	if h.released {
 		return false
 	}
+	for h.limit.used+n > h.limit.limit {
+		if !h.limit.cutSlowest(func(*delivery) bool { return true }) {
+			return false
+		}
+	}
 	h.bytes += n
 	h.limit.used += n
 	return true
@@ -135,16 +150,31 @@
 	return b
 }
 
+// keepOnly gives back the memory of all bodies but one, which may be nil. Bodies of attempts
+// that are still in progress get no more memory.
+func (h *memoryHold) keepOnly(kept *bodyMemory) {
+	h.limit.mu.Lock()
+	defer h.limit.mu.Unlock()
+	for _, b := range h.bodies {
+		if b != kept {
+			b.giveBackLocked(b.bytes)
+			b.ended = true
+		}
+	}
+}
+
 // release gives all memory back and makes further reservations fail.
 func (h *memoryHold) release() {
 	h.limit.mu.Lock()
 	defer h.limit.mu.Unlock()
-	h.limit.used -= h.bytes
+	h.releaseLocked()
+}
+
+func (h *memoryHold) releaseLocked() {
 	for _, b := range h.bodies {
-		if b.long > 0 {
-			b.group.end(b)
-		}
+		b.giveBackLocked(b.bytes)
 	}
+	h.limit.used -= h.bytes
 	h.bytes, h.bodies, h.released = 0, nil, true
 }
 
@@ -155,6 +185,7 @@
 	owner string // the caller or the target that sends it
 	bytes int64
 	long  int64 // bytes beyond shortBodyBytes
+	ended bool  // no more memory is reserved
 }
 
 // reserve adds n bytes. It reports false, and adds nothing, if a limit is exceeded or the
@@ -163,10 +194,10 @@
 	l := b.hold.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	long := max(0, b.bytes+n-shortBodyBytes) - b.long
-	if long > 0 && !b.group.mayGrow(b, long) || !b.hold.reserveLocked(n) {
+	if b.ended || !b.hasRoom(n) || !b.hold.reserveLocked(n) {
 		return false
 	}
+	long := max(0, b.bytes+n-shortBodyBytes) - b.long
 	b.bytes += n
 	if long > 0 {
 		b.group.grow(b, long)
@@ -179,6 +210,60 @@
 	l := b.hold.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !b.hasRoom(n) {
+		return false
+	}
+	for l.used+n > l.limit {
+		if !l.cutSlowest(func(*delivery) bool { return true }) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasRoom reports whether n more bytes stay within the limits of long bodies. It cuts long
+// responses to slow callers as far as that helps.
+func (b *bodyMemory) hasRoom(n int64) bool {
 	long := max(0, b.bytes+n-shortBodyBytes) - b.long
-	return l.used+n <= l.limit && (long == 0 || b.group.mayGrow(b, long))
+	for long > 0 && !b.group.mayGrow(b, long) {
+		if b.group != &b.hold.limit.responses || !b.hold.limit.cutSlowest(func(d *delivery) bool { return d.hold.hasLongBody() }) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasLongBody reports whether a body of the exchange is longer than shortBodyBytes.
+func (h *memoryHold) hasLongBody() bool {
+	return slices.ContainsFunc(h.bodies, func(b *bodyMemory) bool { return b.long > 0 })
+}
+
+// giveBackLocked gives n bytes back.
+func (b *bodyMemory) giveBackLocked(n int64) {
+	b.bytes -= n
+	b.group.shrink(b, b.long-max(0, b.bytes-shortBodyBytes))
+	b.hold.bytes -= n
+	b.hold.limit.used -= n
+}
+
+// giveBack gives n bytes of a body back, unless its hold was released.
+func (l *memoryLimit) giveBack(b *bodyMemory, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b != nil && !b.hold.released {
+		b.giveBackLocked(min(n, b.bytes))
+	}
+}
+
+// inUse returns the bytes that are reserved.
+func (l *memoryLimit) inUse() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used
+}
+
+// responseFits reports whether a response of n bytes could be buffered now.
+func (l *memoryLimit) responseFits(n int64) bool {
+	h := &memoryHold{limit: l}
+	return h.newResponseBody("").fits(n)
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -11,7 +11,7 @@
 // are exceeded, in any order of reservations and releases.
 func TestMemoryLimitCountsEachReservationOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := newMemoryLimit(1 << 20)
+		l := newMemoryLimit(1<<20, nil)
 		var holds []*memoryHold
 		var bodies []*bodyMemory
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
@@ -64,7 +64,7 @@
 // long bodies, and against the refusal of a single long one.
 func TestOwnerHasAShareOfTheMemory(t *testing.T) {
 	is := is.New(t)
-	l := newMemoryLimit(1 << 20) // 665 KiB for long bodies
+	l := newMemoryLimit(1<<20, nil) // 665 KiB for long bodies
 	h := &memoryHold{limit: l}
 	oldest := h.newRequestBody("a")
 	is.True(oldest.reserve(200 << 10))
@@ -82,7 +82,7 @@
 // each takes a part of the memory.
 func TestOneOfSeveralLongBodiesIsCompleted(t *testing.T) {
 	is := is.New(t)
-	l := newMemoryLimit(1 << 20)
+	l := newMemoryLimit(1<<20, nil)
 	const size, step = 550 << 10, 25 << 10
 	completed := 0
 	for range 4 {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -84,4 +84,7 @@
 	// TargetAdvice counts changes in what targets say about the requests that they want, by
 	// kind: "leaving", "retry-after", "limit" or "none".
 	TargetAdvice(kind string)
+	// Delivery counts a response that its caller has not got to the end, by kind: "cut",
+	// "stalled" or "failed".
+	Delivery(end string)
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -13,6 +13,7 @@
 	status int
 	header http.Header      // set only for a response forwarded from a target
 	body   *segments.Buffer // nil if it is empty
+	memory *bodyMemory      // of the body, nil if there is none
 	// retryAfter is set on refusals, which state that the request did not run.
 	retryAfter time.Duration
 	outcome    outcome
@@ -79,6 +80,9 @@
 		h.Set("Content-Length", strconv.FormatInt(resp.body.Len(), 10))
 	}
 	w.WriteHeader(resp.status)
-	_, x.writeErr = resp.body.WriteTo(w)
+	var end deliveryEnd
+	if end, x.writeErr = x.deliver(w, resp); end != "" {
+		g.options.Metrics.Delivery(string(end))
+	}
 	x.response = resp
 }
--- /dev/null
+++ b/gateway/slowreaders_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// deliverySpec describes a response that is written to a caller.
+type deliverySpec struct {
+	caller         string
+	bytes, written int64
+	lastProgress   time.Duration
+}
+
+// Guards against a new request that finds no memory since slow callers hold it, and against a
+// cut of the wrong response: one that a caller takes at an ordinary rate is kept. The load is
+// responses of 200 KiB or less in a memory of 1 MiB.
+func TestSlowestDeliveryIsCutFirst(t *testing.T) {
+	const now = 10 * time.Second
+	for name, c := range map[string]struct {
+		deliveries []deliverySpec
+		cut        int // index of the one that is cut, -1 if none
+	}{
+		"slowest": {cut: 1, deliveries: []deliverySpec{
+			{"a", 200 << 10, 40 << 10, 0}, {"b", 200 << 10, 10 << 10, 0}, {"c", 200 << 10, 50 << 10, 0}, {"d", 200 << 10, 60 << 10, 0}}},
+		"several of one caller first": {cut: 2, deliveries: []deliverySpec{
+			{"a", 200 << 10, 1 << 10, 0}, {"b", 200 << 10, 60 << 10, 0}, {"b", 200 << 10, 50 << 10, 0}, {"c", 200 << 10, 2 << 10, 0}}},
+		"progress": {cut: 3, deliveries: []deliverySpec{
+			{"a", 200 << 10, 8 << 10, now}, {"b", 200 << 10, 8 << 10, now - slowAfter/2}, {"c", 200 << 10, 8 << 10, now}, {"d", 200 << 10, 90 << 10, 0}}},
+		"none is slow": {cut: -1, deliveries: []deliverySpec{
+			{"a", 200 << 10, 0, now}, {"b", 200 << 10, 0, now}, {"c", 200 << 10, 0, now}, {"d", 200 << 10, 0, now}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newMemoryLimit(1<<20, func() time.Duration { return now })
+			var list []*delivery
+			var expiries int
+			for _, spec := range c.deliveries {
+				d := &delivery{hold: &memoryHold{limit: l}, caller: spec.caller, setWriteExpiry: func(time.Time) { expiries++ }}
+				is.True(d.hold.reserve(spec.bytes))
+				l.beginDelivery(d)
+				d.began, d.written, d.lastProgress = 0, spec.written, spec.lastProgress
+				list = append(list, d)
+			}
+			another := &memoryHold{limit: l}
+			is.Equal(another.reserve(300<<10), c.cut >= 0)
+			for i, d := range list {
+				is.Equal(l.endDelivery(d), i == c.cut)
+				d.hold.release()
+			}
+			is.Equal(l.used, another.bytes) // nothing is given back twice
+			is.Equal(len(l.deliveries), 0)
+			is.Equal(expiries, 4)
+		})
+	}
+}
+
+// Guards against long responses to slow callers that leave no room for others.
+func TestLongResponsesToSlowCallersMakeRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	l := newMemoryLimit(1<<20, func() time.Duration { return now }) // 230 KB for long responses
+	slow := &delivery{hold: &memoryHold{limit: l}, caller: "a", setWriteExpiry: func(time.Time) {}}
+	is.True(slow.hold.newResponseBody("t").reserve(200 << 10))
+	l.beginDelivery(slow)
+	other := &memoryHold{limit: l}
+	is.True(!l.responseFits(250 << 10))
+	is.True(!other.newResponseBody("u").reserve(250 << 10))
+	now = slowAfter
+	is.True(other.newResponseBody("u").reserve(250 << 10))
+	is.True(slow.cut)
+	is.Equal(l.used, other.bytes)
+}
--- a/gateway/unasked_test.go
+++ b/gateway/unasked_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,13 +103,15 @@
 	}))
 	f.healthPath = ""
 	f.configure(catalog.Limits{})
+	end := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(end)
 	statuses := make(chan int, 4)
 	for range 4 { // slots
 		go func() { statuses <- f.send(t, "POST", "/unsafe/x", "").status }()
 		<-begun
 	}
 	is.Equal(f.send(t, "POST", "/unsafe/x", "", "Deadline-Ms", "100").status, 503)
-	close(release)
+	end()
 	for range 4 {
 		is.Equal(<-statuses, 200)
 	}
--- a/internal/segments/buffer.go
+++ b/internal/segments/buffer.go
@@ -106,3 +106,27 @@
 	}
 	return written, nil
 }
+
+// Drain passes the content to write in pieces of at most piece bytes, and frees each segment
+// once it is written: freed is called with its size. The buffer is empty afterwards, also after
+// an error of write, which Drain returns.
+func (b *Buffer) Drain(piece int, write func([]byte) error, freed func(n int64)) error {
+	if b == nil {
+		return nil
+	}
+	list := b.list
+	b.list, b.length = nil, 0
+	for i := range list {
+		segment := list[i]
+		list[i] = nil // for the garbage collector
+		for rest := segment; len(rest) > 0; {
+			n := min(piece, len(rest))
+			if err := write(rest[:n]); err != nil {
+				return err
+			}
+			rest = rest[n:]
+		}
+		freed(int64(cap(segment)))
+	}
+	return nil
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -36,6 +36,7 @@
 	expired  *tagged[tally.Counter]
 	reports  *tagged[tally.Counter]
 	advice   *tagged[tally.Counter]
+	partial  *tagged[tally.Counter]
 	panics   *tagged[tally.Counter]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
@@ -74,6 +75,9 @@
 	m.advice = newTagged(func(kind string) tally.Counter {
 		return scope.Tagged(map[string]string{tagKind: kind}).Counter("target_advice_total")
 	})
+	m.partial = newTagged(func(end string) tally.Counter {
+		return scope.Tagged(map[string]string{tagKind: end}).Counter("partial_responses_total")
+	})
 	m.panics = newTagged(func(work string) tally.Counter {
 		return scope.Tagged(map[string]string{tagWork: work}).Counter("panics_total")
 	})
@@ -106,6 +110,9 @@
 // origin of the report.
 func (m *Metrics) FailureReports(origin string, n int) { m.reports.get(origin).Inc(int64(n)) }
 
+// Delivery counts a response that its caller has not got to the end.
+func (m *Metrics) Delivery(end string) { m.partial.get(end).Inc(1) }
+
 // TargetAdvice counts a change in what a target says about the requests that it wants.
 func (m *Metrics) TargetAdvice(kind string) { m.advice.get(kind).Inc(1) }
 
