--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -190,6 +190,7 @@
 	r.gateway.options.Metrics.Attempt(string(a.outcome))
 	switch a.outcome {
 	case attemptServed:
+		r.gateway.responseSizes.observe(r.request.Route.Name, a.response.body.Len())
 		r.completed(a.Target)
 		return a.response
 	case attemptBroken:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	stopEnd          atomic.Int64 // argument of Stop; valid once stopping is true
 	refusing         atomic.Bool
 	memory           *memoryLimit // of exchanges
+	responseSizes    responseSizes
 	targetBodies     targetBodies
 	connectionLimits sync.Map // by address, int
 	inFlight         atomic.Int64
