placement: no more requests in flight to a target than its slots

Targets of some services never answer what they cannot run or queue.

An instance has at most as many requests in flight to a target as it has slots, whatever the reports say.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -103,7 +103,9 @@
 // satisfies reports whether the target meets the requirement and is expected to
 // respond before the deadline. above allows slots above the saturation point.
 func (e *estimate) satisfies(now time.Duration, r *Request, requirement Requirement, above bool) bool {
-	if now+e.duration > r.Deadline {
+	// A report may be older than requests on their way, and there may be none. Beyond its
+	// slots, a target may never answer.
+	if now+e.duration > r.Deadline || len(e.target.sendTimes) >= e.slots {
 		return false
 	}
 	// Requests that are not urgent stay below the saturation point, and so do late
