--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,6 +46,7 @@
 	view       *catalog.View
 	request    placement.Request
 	body       segments.Buffer
+	bodyBytes  int64      // the length of body
 	memory     memoryHold // of the exchange with the bodies of the request and of responses
 	attempts   []*attempt
 	response   *response
@@ -111,6 +112,11 @@
 	if admitted.turnedAwayFor > 0 {
 		return newRefusal(outcomeTurnedAway, admitted.turnedAwayFor)
 	}
+	expected, ok := g.responseSizes.begin(route.Name, g.memory.responseFits)
+	if !ok {
+		return newRefusal(outcomeNoRoom, defaultRetryAfter)
+	}
+	defer g.responseSizes.end(expected)
 	ctx, cancel := context.WithTimeout(x.caller.Context(), x.deadline-g.options.Now())
 	defer cancel()
 	return x.forward(ctx)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -127,6 +127,7 @@
 
 // release gives up a reserved target to which the request was not sent.
 func (r *forwarder) release(res reservation) {
+	r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
 	r.gateway.scheduler.recordEnd(res, r.request.Route, placement.Outcome{}, placement.Load{})
 }
 
@@ -156,6 +157,7 @@
 		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = r.send(r.ctx, outgoing) }); err != nil {
 			e = attemptEnd{outcome: attemptBroken, err: err, endedAt: r.gateway.options.Now()}
 		}
+		r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
 		if e.advised {
 			r.gateway.scheduler.recordAdvice(res, e.advice)
 		}
@@ -188,6 +190,7 @@
 	r.gateway.options.Metrics.Attempt(string(a.outcome))
 	switch a.outcome {
 	case attemptServed:
+		r.gateway.responseSizes.observe(r.request.Route.Name, a.response.body.Len())
 		r.completed(a.Target)
 		return a.response
 	case attemptBroken:
@@ -226,6 +229,9 @@
 	if r.selecting || r.ctx.Err() != nil {
 		return false
 	}
+	if r.countAttempts(func(a *attempt) bool { return a.outcome == attemptNoMemory }) > 0 {
+		return false // another target's response would not fit either
+	}
 	runs := r.possibleRuns()
 	if !r.request.Route.Idempotent && runs > 0 {
 		return false
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -94,4 +94,7 @@
 	Shortage(service string, level float64)
 	// TurnedAway counts a request that is turned away by a shortage, by the rank of its route.
 	TurnedAway(rank int)
+	// Delivery counts a response that its caller has not got to the end, by kind: "cut",
+	// "stalled" or "failed".
+	Delivery(end string)
 }
