fleet: check watches that are overdue, and tell the next readers of a failure

Cause: after a compaction of the store the watches of both readers hear nothing and are cut without a sign. A reader could not tell such a watch from one without changes and waited for 2.4 s, while the store answered every other call. Then both stopped and told nobody: others began as they had missed the heartbeats of readers for 1.9 s and more.

Change: a watch that is 0.2 s overdue, or twice the delay of the last answer, is checked with a second question, the position of the store (a listing without items). At the same position a new watch begins, at a later one the reader lists. The first reader's watches wait 0.8 s in place of 1.5. A reader that the store fails tells the next three instances; one without any answer does not, so calls to a store that is down stay as few. The next eight instances ask silent readers before they read themselves, which saves needless readers.

Why it works: the question uses what the store still answers, and the wait until it does not depend on the time limit of a call. The first answer of watch and question counts, so a slow store is read as before.

Ruled out: slow dissemination (0.3 s at most from reader to last instance); telling others alone (the readers notice too late); stale reads as heartbeat (3 s behind just after a compaction).

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -269,6 +269,10 @@
 	sender := memberFromMessage(s.GetSelf())
 	previous := t.roster.peers[sender.IP]
 	isNew = previous == nil || previous.Incarnation != sender.Incarnation
+	var stateBefore MemberState
+	if previous != nil {
+		stateBefore = previous.State
+	}
 	if previous != nil && previous.failures > 0 {
 		t.options.Log.Info("peer answers again", "peer", sender.IP.String())
 	}
@@ -276,6 +280,9 @@
 	if p := t.roster.peers[sender.IP]; p != nil {
 		p.position = t.positionFromMessage(s)
 	}
+	if stateBefore.Has(Reading) && !sender.State.Has(Reading) {
+		t.updateReader(now) // this instance may be the next reader
+	}
 	for _, m := range s.GetMembers() {
 		if member := memberFromMessage(m); t.roster.merge(now, member, false) && !t.exchanging[member.IP] {
 			t.contact(now, member.IP, broadcast{})
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -60,6 +60,8 @@
 	seeds   []netip.Addr
 	running map[netip.Addr]*instance
 	links   *links
+	// pipes replaces the network if not nil.
+	pipes *pipes
 	// identity secures the connections of instances that are started after it is set.
 	identity *secure.Identity
 }
@@ -99,16 +101,13 @@
 func (c *cluster) start(domain, n int) *instance {
 	c.t.Helper()
 	ip := address(domain, n)
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, c.port).String())
-	if err != nil {
-		c.t.Fatal(err)
-	}
+	listener, dial := c.listen(ip)
 	begin := time.Now()
 	i := &instance{ended: make(chan struct{})}
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
 		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
 		Decoder: decoder{}, OnPanic: func(string, any, []byte) { i.panics.Add(1) }, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
-	i.SetDialer(c.links.dialer(ip))
+	i.SetDialer(dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	go func() {
@@ -121,6 +120,18 @@
 	return i
 }
 
+// listen returns the listener and the dialer of an instance.
+func (c *cluster) listen(ip netip.Addr) (net.Listener, func(context.Context, string) (net.Conn, error)) {
+	if c.pipes != nil {
+		return c.pipes.listen(ip), c.pipes.dial
+	}
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, c.port).String())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return listener, c.links.dialer(ip)
+}
+
 func (c *cluster) startAll(perDomain int) {
 	for d := range c.domains {
 		for n := range perDomain {
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +17,16 @@
 	// A shorter wait detects a broken connection sooner; a longer one saves calls,
 	// each of which has a price.
 	watchWait = 1500 * time.Millisecond
+	// firstReaderWatchWait replaces watchWait at the first reader, so that a fleet whose
+	// watches are all silent notices it within half of the shortest time that is required
+	// from a change to its effect (2 s). It costs 0.6 calls a second while nothing changes.
+	firstReaderWatchWait = 800 * time.Millisecond
+	// minOverdue and maxOverdue bound the time after its wait at which a watch without an
+	// answer is overdue: twice as long as the store took beyond the wait the last time. The
+	// usual delay is 4 ms; that of a slow store, up to 400 ms, must not cost a second call
+	// with each watch.
+	minOverdue = 200 * time.Millisecond
+	maxOverdue = 800 * time.Millisecond
 	// watchGrace is how long after watchWait the answer may arrive. The store usually
 	// answers in 4 ms, but may take several hundred.
 	watchGrace = 900 * time.Millisecond
@@ -53,7 +64,9 @@
 	// afterOutage is true if removals may be due to an outage of the store, in which
 	// targets could not renew their entries.
 	afterOutage bool
-	err         error
+	// afterSilence is true for a listing that follows a watch that has not returned changes.
+	afterSilence bool
+	err          error
 }
 
 // reader lists and watches the store until its context ends, and passes the result of
@@ -70,6 +83,8 @@
 	answeredBefore bool          // a call has succeeded
 	onPanic        contain.Handler
 	lapsedUntil    time.Duration // removals before this time count as lapsed
+	delay          time.Duration // how long the store took for its last answer, without the wait of a watch
+	first          atomic.Bool   // this instance is the first reader of the fleet
 }
 
 func (r *reader) run(ctx context.Context) {
@@ -103,7 +118,8 @@
 
 // callStore makes one call, a watch or, if r.mustList is set, a listing. A listing follows
 // at once if a watch cannot return all changes: the history is gone, the changes are too
-// long, or the store was restored and the revision is one of an earlier era.
+// long, the store was restored and the revision is one of an earlier era, or the watch is
+// silent although there are changes.
 func (r *reader) callStore(ctx context.Context) readResult {
 	result := readResult{full: r.mustList}
 	if r.mustList {
@@ -111,22 +127,30 @@
 		defer cancel()
 		result.listing, result.err = r.source.List(callContext)
 	} else {
-		wait, timeout := watchWait, watchWait+watchGrace
+		wait := watchWait
+		if r.first.Load() {
+			wait = firstReaderWatchWait
+		}
+		timeout := wait + watchGrace
 		if !r.answeredBefore || r.failed {
 			wait = 0 // to learn at once whether the store answers this instance, and in which era
 			timeout = min(timeout, firstCallTimeout<<min(r.failures, maxTimeoutDoublings))
 		}
 		callContext, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		result.listing, result.err = r.source.Watch(callContext, r.position.Revision, wait)
+		result.listing, result.err = r.watch(callContext, wait)
 	}
 	position := result.listing.Position.WithDefaultEra(r.position.Era)
 	result.listing.Position = position
 	restored := result.err == nil && position.Era > r.position.Era && r.position.Revision > 0
 	switch {
-	case !r.mustList && (restored || errors.Is(result.err, ErrHistoryGone) || errors.Is(result.err, ErrTooManyChanges)):
+	case !r.mustList && (restored || errors.Is(result.err, ErrHistoryGone) || errors.Is(result.err, ErrTooManyChanges) ||
+		errors.Is(result.err, errWatchSilent)):
+		silent := errors.Is(result.err, errWatchSilent)
 		r.mustList = true
-		return r.callStore(ctx)
+		result = r.callStore(ctx)
+		result.afterSilence = silent
+		return result
 	case result.err == nil && position.Era < r.position.Era:
 		result.err = errors.Errorf("answer of era %d of the store, era %d is known", position.Era, r.position.Era)
 	}
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -31,6 +31,10 @@
 	return Listing{Position: records.Position{Revision: after}}, ctx.Err()
 }
 
+func (s *countingSource) Position(context.Context) (records.Position, error) {
+	return records.Position{}, errors.New("not called: all watches return in time")
+}
+
 func (s *countingSource) Reset() {}
 
 // Guards against every instance watching the store after a restart of the whole fleet:
@@ -102,6 +106,11 @@
 	return s.answer(ctx, "watch")
 }
 
+func (s *scriptedSource) Position(ctx context.Context) (records.Position, error) {
+	listing, err := s.answer(ctx, "position")
+	return listing.Position, err
+}
+
 func (s *scriptedSource) Reset() {}
 
 // Guards against a watch of a restored store that is taken for complete because the store has
@@ -208,6 +217,11 @@
 	return listing, err
 }
 
+func (s *silentSource) Position(ctx context.Context) (records.Position, error) {
+	listing, err := s.answer(ctx)
+	return listing.Position, err
+}
+
 func (s *silentSource) Reset() {}
 
 // Guards against a reader that starts just before the store is back, and notices that only
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -17,6 +18,14 @@
 	// of the fleet a heartbeat needs about one more round of exchanges.
 	minReaderTimeout         = 400 * time.Millisecond
 	readerTimeoutPerDoubling = 190 * time.Millisecond
+	// notifiedSuccessors is the number of instances that a reader notifies when the store
+	// fails it: as many as there are readers, since all may have failed, and one more, since
+	// one of them may be down.
+	notifiedSuccessors = wantedReaders + 1
+	// maxAskingRank is the highest rank of an instance that asks silent readers before it
+	// takes over. All others learn the answer from these before their turn; if all asked, the
+	// readers would get an exchange of each instance of the fleet at once.
+	maxAskingRank = 8
 	// takeoverStep is the additional wait per rank, so that instances that miss the same
 	// reader take over one at a time.
 	takeoverStep = 120 * time.Millisecond
@@ -91,6 +100,23 @@
 	return list
 }
 
+// successors returns the next instances that become readers, at most notifiedSuccessors.
+func (r *roster) successors(now time.Duration) []netip.Addr {
+	var list []netip.Addr
+	for _, c := range r.candidates(now) {
+		if !c.self && !c.member.State.Has(Reading) && len(list) < notifiedSuccessors {
+			list = append(list, c.member.IP)
+		}
+	}
+	return list
+}
+
+// isFirstReader reports whether this instance is the first reader.
+func (r *roster) isFirstReader(now time.Duration) bool {
+	list := r.candidates(now)
+	return len(list) > 0 && list[0].self
+}
+
 // enoughReadersAhead reports whether at least wantedReaders members of this failure
 // domain come before this instance. It is cheaper than the rank among all candidates.
 func (r *roster) enoughReadersAhead(now time.Duration) bool {
--- a/fleet/source.go
+++ b/fleet/source.go
@@ -34,6 +34,9 @@
 	// store cannot tell in which era the revision was read: the caller compares the era
 	// of the listing with it.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
+	// Position returns the store's position, not an earlier one. It is cheaper than a
+	// listing.
+	Position(ctx context.Context) (records.Position, error)
 	// Reset drops the connection, so that the next call uses a new one.
 	Reset()
 }
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/fleet"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
@@ -21,7 +22,13 @@
 	era      uint64
 	calls    map[string]int // number of calls by reader
 	refused  map[string]bool
-	changed  chan struct{}
+	ignored  map[string]bool // gets no answers
+	silent   bool            // watches hear nothing, and those that wait then never answer
+	dropped  uint64          // history up to this revision is gone
+	// delay is how long the store takes for each answer. refuseAll is true if it refuses all.
+	delay     time.Duration
+	refuseAll bool
+	changed   chan struct{}
 }
 
 func newStore() *store {
@@ -73,6 +80,47 @@
 	s.notify()
 }
 
+// compact drops the history after a time in which watches hear nothing. Those that wait
+// meanwhile never answer.
+func (s *store) compact(silence time.Duration) {
+	s.mu.Lock()
+	s.silent = true
+	s.notify()
+	s.mu.Unlock()
+	time.AfterFunc(silence, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.silent, s.dropped, s.events = false, s.revision, nil
+	})
+}
+
+// ignore makes the store answer no further call of the readers.
+func (s *store) ignore(readers ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ignored = make(map[string]bool)
+	for _, reader := range readers {
+		s.ignored[reader] = true
+	}
+	s.notify()
+}
+
+// serveAll ends all refusals.
+func (s *store) serveAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.refused)
+}
+
+// resetCalls returns the instances that call the store within a time.
+func (s *store) resetCalls(within time.Duration) []string {
+	s.mu.Lock()
+	clear(s.calls)
+	s.mu.Unlock()
+	time.Sleep(within)
+	return s.readers()
+}
+
 func (s *store) readers() (names []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,22 +138,31 @@
 
 var errRefused = errors.New("refused")
 
-// countCall counts a call and returns an error if the store refuses it. The caller holds
-// store.mu.
-func (s *source) countCall() error {
+// countCall counts a call, waits as long as the store takes for an answer and returns an error
+// if the store refuses the call.
+func (s *source) countCall(ctx context.Context) error {
+	s.store.mu.Lock()
 	s.store.calls[s.name]++
-	if s.store.refused[s.name] {
+	delay, refused := s.store.delay, s.store.refused[s.name] || s.store.refuseAll
+	if s.store.ignored[s.name] {
+		delay = time.Hour
+	}
+	s.store.mu.Unlock()
+	if backoff.Sleep(ctx, delay); ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if refused {
 		return errRefused
 	}
 	return nil
 }
 
-func (s *source) List(context.Context) (fleet.Listing, error) {
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	if err := s.countCall(); err != nil {
+func (s *source) List(ctx context.Context) (fleet.Listing, error) {
+	if err := s.countCall(ctx); err != nil {
 		return fleet.Listing{}, err
 	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
 	list := fleet.Listing{Position: s.store.position()}
 	for _, r := range s.store.records {
 		if !r.Deleted {
@@ -116,31 +173,49 @@
 }
 
 func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (fleet.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+	if err := s.countCall(ctx); err != nil {
+		return fleet.Listing{}, err
+	}
+	end := time.After(wait)
 	for {
 		s.store.mu.Lock()
-		err := s.countCall()
 		list := fleet.Listing{Position: s.store.position()}
 		for _, r := range s.store.events {
 			if r.Revision > after {
 				list.Records = append(list.Records, r)
 			}
 		}
-		changed := s.store.changed
-		if err == nil && after > s.store.revision {
-			err = fleet.ErrHistoryGone
-		}
+		changed, silent, refused, ignored := s.store.changed, s.store.silent, s.store.refused[s.name], s.store.ignored[s.name]
+		historyGone := after > s.store.revision || after < s.store.dropped
 		s.store.mu.Unlock()
-		if err != nil || len(list.Records) > 0 {
-			return list, err
+		switch {
+		case refused:
+			return list, errRefused
+		case silent || ignored:
+			<-ctx.Done()
+			return list, ctx.Err()
+		case historyGone:
+			return list, fleet.ErrHistoryGone
+		case len(list.Records) > 0:
+			return list, nil
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-end:
 			return list, nil
+		case <-ctx.Done():
+			return list, ctx.Err()
 		}
 	}
 }
 
+func (s *source) Position(ctx context.Context) (records.Position, error) {
+	if err := s.countCall(ctx); err != nil {
+		return records.Position{}, err
+	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return s.store.position(), nil
+}
+
 func (s *source) Reset() {}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,9 @@
 	readNotBefore time.Duration
 
 	stopReader         context.CancelFunc // set while a reader runs
+	reader             *reader            // the one that runs or ran last
 	storeAnsweredAt    time.Duration      // time of the store's last answer
+	readerAnswered     bool               // the last call of the reader succeeded
 	storeFailedAt      time.Duration      // time of the last failed call since the last answer, 0 if none
 	storeFailing       bool               // the last call to the store failed
 	storeFailures      int                // calls that failed since the store's last answer
@@ -65,7 +68,8 @@
 	round              int
 	exchanging         map[netip.Addr]bool       // peers with an exchange in progress
 	queued             map[netip.Addr]*broadcast // broadcasts to send to these peers in a next exchange
-	noReader           bool                      // no reader's heartbeat has arrived for readerTimeout
+	readersSilent      bool                      // no reader's heartbeat has arrived for readerTimeout, also while this instance reads
+	noReader           bool                      // readersSilent, while this instance does not read
 	loggedLive         int                       // number of live instances that was logged last
 	loggedIsolated     bool                      // Isolated as it was logged last
 	pendingRelay       broadcast                 // broadcast to forward once its changes have arrived
@@ -179,7 +183,12 @@
 	t.setFlag(StoreFailed, t.storeFailedAt > 0 && now-t.storeFailedAt < storeFailedFor)
 	silence := now - max(t.started, t.roster.lastReaderHeartbeat())
 	shouldRead := now >= t.readNotBefore && (t.set.Empty() || t.roster.shouldRead(now, silence, t.storeFailures == 0 || now >= t.storeCallAfter))
-	if noReader := silence > t.roster.readerTimeout() && t.stopReader == nil; noReader != t.noReader {
+	if silent := silence > t.roster.readerTimeout(); silent != t.readersSilent {
+		if t.readersSilent = silent; silent {
+			t.askReaders(now)
+		}
+	}
+	if noReader := t.readersSilent && t.stopReader == nil; noReader != t.noReader {
 		t.noReader = noReader
 		t.options.Log.Info("heartbeats of store readers", "heard", !noReader, "silence_ms", silence.Milliseconds())
 	}
@@ -191,11 +200,38 @@
 		t.stopReader()
 		t.stopReader, t.storeFailing = nil, false
 	}
+	if t.stopReader != nil {
+		t.reader.first.Store(t.roster.isFirstReader(now))
+	}
+}
+
+// askReaders contacts the instances that should read the store and of which no heartbeat has
+// arrived, if this instance is one of the next readers. The heartbeat may have been lost on its
+// way: if one of them answers as a reader before this instance's turn to read, the call to
+// the store is saved.
+func (t *Task) askReaders(now time.Duration) {
+	list := t.roster.candidates(now)
+	if rank := slices.IndexFunc(list, func(c candidate) bool { return c.self }); rank < wantedReaders || rank > maxAskingRank {
+		return
+	}
+	for _, c := range list[:wantedReaders] {
+		t.contact(now, c.member.IP, broadcast{})
+	}
+}
+
+// notifySuccessors tells the next readers that the store has failed this instance while it
+// was a reader, so that they need not learn it from others or from missing heartbeats. An
+// instance that the store has not answered does not do so: if the store is down, the
+// calls to it would pass through the whole fleet at once.
+func (t *Task) notifySuccessors(now time.Duration) {
+	for _, successor := range t.roster.successors(now) {
+		t.contact(now, successor, broadcast{})
+	}
 }
 
 func (t *Task) startReader() {
 	ctx, cancel := context.WithCancel(t.context)
-	t.stopReader, t.storeFailing = cancel, false
+	t.stopReader, t.storeFailing, t.readerAnswered = cancel, false, false
 	t.options.Log.Info("start reading the store", "era", t.set.Position().Era, "revision", t.set.Position().Revision)
 	r := &reader{source: t.options.Source, now: t.options.Now, position: t.set.Position(), answered: t.options.Now(), failures: t.storeFailures, onPanic: t.options.OnPanic}
 	r.deliver = func(result readResult) {
@@ -205,6 +241,7 @@
 			}
 		})
 	}
+	t.reader = r
 	go r.run(ctx)
 }
 
@@ -218,12 +255,21 @@
 		t.storeFailures++
 		t.storeCallAfter = now + t.roster.outageCallDelay()
 		t.updateReader(now)
+		if t.readerAnswered {
+			t.readerAnswered = false
+			t.notifySuccessors(now)
+		}
 		return
 	}
+	t.readerAnswered = true
 	if t.storeFailing {
 		t.options.Log.Info("store answers again", "era", result.listing.Position.Era, "revision", result.listing.Position.Revision,
 			"down_ms", (now - t.storeAnsweredAt).Milliseconds())
 	}
+	if result.afterSilence {
+		t.options.Log.Warn("watch of the store was silent, listed instead", "era", result.listing.Position.Era, "revision", result.listing.Position.Revision,
+			"answered_ms_ago", (now - t.storeAnsweredAt).Milliseconds())
+	}
 	t.storeFailing, t.storeFailedAt, t.storeAnsweredAt, t.storeFailures = false, 0, now, 0
 	before := t.set.Position()
 	var changed []records.Record
