fleet: readers go on until those before them have answers again

Callers would see versions up to 0.6 s late, again and again, while the store gives some machines no answers.

Cause: an instance that the store fails gives others precedence for 3 s. After it, the instance that reads in its place stopped at once, although the first one's next call may hang again for 0.6 to 2.4 s: a role returned to a holder that has not proved itself.

Change: a reader goes on while one of the first two in the order has failed within the last 5.4 s (the pause and one call) and is no reader yet.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -74,6 +74,8 @@
 	aliveUntil time.Duration
 	// probeNotBefore is the earliest time of the next probe of the member.
 	probeNotBefore time.Duration
+	// storeFailedSeen is when the last state with StoreFailed arrived, 0 if none did.
+	storeFailedSeen time.Duration
 	// position is the position of its records that the member last reported.
 	position records.Position
 	// readOrder is the cached readOrderHash of the member.
--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -26,6 +26,10 @@
 	// takes over. All others learn the answer from these before their turn; if all asked, the
 	// readers would get an exchange of each instance of the fleet at once.
 	maxAskingRank = 8
+	// unprovenFor is how long after the last report that the store failed an instance other
+	// readers go on in its place until it is a reader again: the time until it tries
+	// again, and that of its call. It may well fail again.
+	unprovenFor = storeFailedFor + watchWait + watchGrace
 	// takeoverStep is the additional wait per rank, so that instances that miss the same
 	// reader take over one at a time.
 	takeoverStep = 120 * time.Millisecond
@@ -129,6 +133,12 @@
 	return ahead >= wantedReaders
 }
 
+// unproven reports whether the store has failed a member before and has not answered it since.
+func (r *roster) unproven(now time.Duration, c candidate) bool {
+	p := r.peers[c.member.IP]
+	return p != nil && !p.State.Has(Reading) && p.storeFailedSeen > 0 && now-p.storeFailedSeen < unprovenFor
+}
+
 // outageCallDelay returns the time until an instance that the store has failed calls it
 // again, if no reader has answers.
 func (r *roster) outageCallDelay() time.Duration {
@@ -140,7 +150,7 @@
 // since the last heartbeat of a reader with recent answers from the store. callDue is false
 // until outageCallDelay has passed since the store failed this instance.
 func (r *roster) shouldRead(now, silence time.Duration, callDue bool) bool {
-	if silence <= r.readerTimeout() && r.enoughReadersAhead(now) {
+	if !r.self.State.Has(Reading) && silence <= r.readerTimeout() && r.enoughReadersAhead(now) {
 		return false
 	}
 	list := r.candidates(now)
@@ -151,6 +161,9 @@
 	if rank < wantedReaders {
 		return true
 	}
+	if r.self.State.Has(Reading) && slices.ContainsFunc(list[:wantedReaders], func(c candidate) bool { return r.unproven(now, c) }) {
+		return true
+	}
 	if r.self.State.Has(StoreFailed) {
 		return callDue && silence > r.readerTimeout() // only the first ones keep trying: calls have a price and share a rate limit
 	}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -112,6 +112,9 @@
 		p.transmissions = 0
 	}
 	p.Member, p.lastSeen = m, now
+	if m.State.Has(StoreFailed) {
+		p.storeFailedSeen = now
+	}
 	if p.failures == 0 || m.State.Has(Down) || now < p.probeNotBefore {
 		return false
 	}
--- a/fleet/takeover_test.go
+++ b/fleet/takeover_test.go
@@ -76,6 +76,25 @@
 	})
 }
 
+// Guards against instances that end their reading as soon as an instance before them in the
+// order may try again, which the store then turns away again.
+func TestRefusedReadersDoNotInterruptTheirSuccessors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newSimulatedCluster(t, 4, 5)
+		c.store.ignore(c.store.resetCalls(2 * time.Second)...)
+		time.Sleep(5 * time.Second)
+		latest := time.Duration(0)
+		for n := range int64(40) {
+			time.Sleep(400 * time.Millisecond)
+			c.setVersion(2 + n)
+			latest = max(latest, c.untilAll("the version", version(2+n)))
+		}
+		t.Logf("in force %v after the acknowledgement at most", latest)
+		is.True(latest < 300*time.Millisecond)
+	})
+}
+
 // Guards against checks and takeovers that cost many calls: all instances share a rate limit, and
 // each call has a price. The bounds leave room for the random choice of partners: measured were
 // 1.9, 1.4, 17 and 6, and before watches were checked 1.6, 1.2, 17 and 5.6.
