--- a/fleet/readers.go
+++ b/fleet/readers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -17,6 +18,18 @@
 	// of the fleet a heartbeat needs about one more round of exchanges.
 	minReaderTimeout         = 400 * time.Millisecond
 	readerTimeoutPerDoubling = 190 * time.Millisecond
+	// notifiedSuccessors is the number of instances that a reader notifies when the store
+	// fails it: as many as there are readers, since all may have failed, and one more, since
+	// one of them may be down.
+	notifiedSuccessors = wantedReaders + 1
+	// maxAskingRank is the highest rank of an instance that asks silent readers before it
+	// takes over. All others learn the answer from these before their turn; if all asked, the
+	// readers would get an exchange of each instance of the fleet at once.
+	maxAskingRank = 8
+	// unprovenFor is how long after the last report that the store failed an instance other
+	// readers go on in its place until it is a reader again: the time until it tries
+	// again, and that of its call. It may well fail again.
+	unprovenFor = storeFailedFor + watchWait + watchGrace
 	// takeoverStep is the additional wait per rank, so that instances that miss the same
 	// reader take over one at a time.
 	takeoverStep = 120 * time.Millisecond
@@ -91,6 +104,23 @@
 	return list
 }
 
+// successors returns the next instances that become readers, at most notifiedSuccessors.
+func (r *roster) successors(now time.Duration) []netip.Addr {
+	var list []netip.Addr
+	for _, c := range r.candidates(now) {
+		if !c.self && !c.member.State.Has(Reading) && len(list) < notifiedSuccessors {
+			list = append(list, c.member.IP)
+		}
+	}
+	return list
+}
+
+// isFirstReader reports whether this instance is the first reader.
+func (r *roster) isFirstReader(now time.Duration) bool {
+	list := r.candidates(now)
+	return len(list) > 0 && list[0].self
+}
+
 // enoughReadersAhead reports whether at least wantedReaders members of this failure
 // domain come before this instance. It is cheaper than the rank among all candidates.
 func (r *roster) enoughReadersAhead(now time.Duration) bool {
@@ -103,6 +133,12 @@
 	return ahead >= wantedReaders
 }
 
+// unproven reports whether the store has failed a member before and has not answered it since.
+func (r *roster) unproven(now time.Duration, c candidate) bool {
+	p := r.peers[c.member.IP]
+	return p != nil && !p.State.Has(Reading) && p.storeFailedSeen > 0 && now-p.storeFailedSeen < unprovenFor
+}
+
 // outageCallDelay returns the time until an instance that the store has failed calls it
 // again, if no reader has answers.
 func (r *roster) outageCallDelay() time.Duration {
@@ -114,7 +150,7 @@
 // since the last heartbeat of a reader with recent answers from the store. callDue is false
 // until outageCallDelay has passed since the store failed this instance.
 func (r *roster) shouldRead(now, silence time.Duration, callDue bool) bool {
-	if silence <= r.readerTimeout() && r.enoughReadersAhead(now) {
+	if !r.self.State.Has(Reading) && silence <= r.readerTimeout() && r.enoughReadersAhead(now) {
 		return false
 	}
 	list := r.candidates(now)
@@ -125,6 +161,9 @@
 	if rank < wantedReaders {
 		return true
 	}
+	if r.self.State.Has(Reading) && slices.ContainsFunc(list[:wantedReaders], func(c candidate) bool { return r.unproven(now, c) }) {
+		return true
+	}
 	if r.self.State.Has(StoreFailed) {
 		return callDue && silence > r.readerTimeout() // only the first ones keep trying: calls have a price and share a rate limit
 	}
