Cold targets: their requests are divided among a few owners over the whole fleet

A target that starts, or whose failure domain returns after a loss of power or an evacuation, is cold for some seconds and crashes far above the rate that its service names. Instances knew that only from its entry, and each sent to it as it saw fit.

The answer to a probe now says how long a target is cold. Without an answer of the last second that says that it is warm, after a new entry, an entry that came back, a silent probe or a lost connection, it is handled as cold. Owners of cold targets are chosen as those of the limits that targets name; placement.share is the one mechanism for both. Rate and buckets of one view of the membership stay inside half of the bound. An instance in its first two seconds, or without contact with others, uses no share. Owners have their cold targets among the candidates of their requests. Services without warmupPerS are handled as before.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/placement"
 )
@@ -27,6 +28,9 @@
 	// ParseAdvice returns what a target says in a response about the requests that it
 	// wants. Headers that are missing or malformed say nothing.
 	ParseAdvice func(status int, header http.Header) placement.Advice
+	// ParseWarmup returns how much longer a target is cold, by the header of its answer to a
+	// probe; 0 if it is warm. Nil: targets do not say so.
+	ParseWarmup func(header http.Header) time.Duration
 	// TargetID holds the ID of the target that answers a probe.
 	TargetID string
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/transport"
 )
@@ -79,6 +80,9 @@
 			g.connectionLimits.Store(t.Address, max(minConnections, share))
 		}
 	}
+	if view.Config != nil {
+		g.scheduler.setServices(view.Config.Services)
+	}
 	g.scheduler.setTargets(view.Targets)
 	if view.Config != nil {
 		g.configuredOnce.Do(func() { close(g.configured) })
@@ -92,6 +96,9 @@
 // SetProbesPerTarget replaces Options.ProbesPerTarget.
 func (g *Gateway) SetProbesPerTarget(perSecond float64) { g.scheduler.setProbesPerTarget(perSecond) }
 
+// SetWarmup replaces Options.Warmup.
+func (g *Gateway) SetWarmup(bounds placement.WarmupBounds) { g.scheduler.setWarmup(bounds) }
+
 // SetMemoryBytes replaces Options.MemoryBytes.
 func (g *Gateway) SetMemoryBytes(limit int64) { g.memory.setLimit(limit) }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
+	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 )
 
@@ -45,6 +46,8 @@
 	// ProbesPerTarget limits the probes per second that a target gets from all
 	// instances together. 0: unlimited.
 	ProbesPerTarget float64
+	// Warmup bounds the requests that a cold target gets from all instances together.
+	Warmup placement.WarmupBounds
 	// MemoryBytes limits the memory of all exchanges: their headers, the bodies of
 	// requests and responses, and the buffers of their connections. A part of it may
 	// hold the parts of request bodies beyond their first 64 KiB, another those of
@@ -84,4 +87,6 @@
 	// TargetAdvice counts changes in what targets say about the requests that they want, by
 	// kind: "leaving", "retry-after", "limit" or "none".
 	TargetAdvice(kind string)
+	// TargetWarmup counts targets that became "cold" or "warm" for this instance.
+	TargetWarmup(state string)
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -17,6 +17,10 @@
 // on the number of instances, and between expiries of failure reports.
 const maintenanceInterval = 2 * time.Second
 
+// shareStartDelay is the time after the start of the process in which it sends nothing to cold
+// targets: it may not know the others, and take itself for one of the few that may.
+const shareStartDelay = 2 * time.Second
+
 // scheduler owns the decision state in one goroutine. Its methods are safe for
 // concurrent use; those that return an error fail if the context ends before the
 // call is queued or the scheduler has stopped.
@@ -29,6 +33,8 @@
 	instances       func() int
 	isolated        func() bool
 	probesPerTarget float64
+	warmup          placement.WarmupBounds
+	services        map[string]catalog.Service // of the configuration in force
 	log             *slog.Logger
 	retryShares     map[string]*retry.BudgetShare // by service
 	// reports holds the failure reports. suspectCount is the number of requests in
@@ -46,11 +52,12 @@
 	if o.Share != nil {
 		placer.SetShares(func(t *catalog.Target, n int) (bool, int) { return o.Share(incarnationHash(t), t.FailureDomain, n) })
 	}
+	placer.SetSettled(func(now time.Duration) bool { return now >= shareStartDelay && !o.Isolated() })
 	loop := owner.New(o.Now)
 	loop.OnPanic(o.OnPanic)
 	return &scheduler{loop: loop, placer: placer,
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
-		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
+		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, warmup: o.Warmup, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
 		metrics: o.Metrics}
 }
@@ -63,6 +70,14 @@
 	})
 }
 
+// setServices replaces the services of the configuration in force.
+func (s *scheduler) setServices(services map[string]catalog.Service) {
+	s.loop.Post(func(time.Duration) {
+		s.services = services
+		s.placer.SetWarmup(s.warmup, s.services)
+	})
+}
+
 func (s *scheduler) setTargets(services map[string][]*catalog.Target) {
 	s.loop.Post(func(now time.Duration) {
 		s.placer.SetTargets(now, services)
@@ -87,6 +102,14 @@
 	})
 }
 
+// setWarmup replaces the bounds for cold targets.
+func (s *scheduler) setWarmup(bounds placement.WarmupBounds) {
+	s.loop.Post(func(time.Duration) {
+		s.warmup = bounds
+		s.placer.SetWarmup(s.warmup, s.services)
+	})
+}
+
 // setProbesPerTarget replaces the limit of probes per target and second.
 func (s *scheduler) setProbesPerTarget(limit float64) {
 	s.loop.Post(func(now time.Duration) {
@@ -144,11 +167,26 @@
 			s.advised(now, id, answer.advice, placement.Exchange{SentAt: answer.sentAt, Probe: true})
 		}
 		if answer.report.Target != nil {
+			s.warmupAnswered(now, id, answer)
 			s.placer.Reported(answer.report)
 		}
 	})
 }
 
+// warmupAnswered records what a target says in the answer to a probe about its warm-up. It
+// runs in the loop's goroutine.
+func (s *scheduler) warmupAnswered(now time.Duration, id catalog.Incarnation, answer probeAnswer) {
+	if !s.placer.WarmupAnswered(now, answer.sentAt, id, answer.warmupLeft) {
+		return
+	}
+	state := "warm"
+	if answer.warmupLeft > 0 {
+		state = "cold"
+	}
+	s.log.Info("target warm-up changed", "target", id.ID, "state", state, "left_ms", answer.warmupLeft.Milliseconds())
+	s.metrics.TargetWarmup(state)
+}
+
 // recordAdvice records what a target says in the response to a request.
 func (s *scheduler) recordAdvice(res reservation, a placement.Advice) {
 	s.loop.Post(func(now time.Duration) {
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -163,7 +163,9 @@
 	// advice is what the target says, if advised is set.
 	advice  placement.Advice
 	advised bool
-	sentAt  time.Duration
+	// warmupLeft is how much longer the target is cold, if there is a report.
+	warmupLeft time.Duration
+	sentAt     time.Duration
 }
 
 // sendProbe probes a target. The result is ProbeSilent if no complete response
@@ -188,6 +190,9 @@
 	default:
 		return answer
 	}
+	if d.ParseWarmup != nil {
+		answer.warmupLeft = d.ParseWarmup(response.Header)
+	}
 	answer.report = placement.Report{Target: t, Load: load, At: g.options.Now()}
 	return answer
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -159,6 +159,7 @@
 func (noMetrics) Attempt(string)                {}
 func (noMetrics) FailureReports(string, int)    {}
 func (noMetrics) TargetAdvice(string)           {}
+func (noMetrics) TargetWarmup(string)           {}
 
 // fixture is a gateway in front of targets.
 type fixture struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -23,6 +23,7 @@
 	tagLimit   = "limit"
 	tagOrigin  = "origin"
 	tagWork    = "work"
+	tagState   = "state"
 )
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -36,6 +37,7 @@
 	expired  *tagged[tally.Counter]
 	reports  *tagged[tally.Counter]
 	advice   *tagged[tally.Counter]
+	warmups  *tagged[tally.Counter]
 	panics   *tagged[tally.Counter]
 	gauges   *tagged[tally.Gauge]
 	latency  *tagged[tally.Histogram]
@@ -74,6 +76,9 @@
 	m.advice = newTagged(func(kind string) tally.Counter {
 		return scope.Tagged(map[string]string{tagKind: kind}).Counter("target_advice_total")
 	})
+	m.warmups = newTagged(func(state string) tally.Counter {
+		return scope.Tagged(map[string]string{tagState: state}).Counter("target_warmups_total")
+	})
 	m.panics = newTagged(func(work string) tally.Counter {
 		return scope.Tagged(map[string]string{tagWork: work}).Counter("panics_total")
 	})
@@ -109,6 +114,9 @@
 // TargetAdvice counts a change in what a target says about the requests that it wants.
 func (m *Metrics) TargetAdvice(kind string) { m.advice.get(kind).Inc(1) }
 
+// TargetWarmup counts a target that became "cold" or "warm" for this instance.
+func (m *Metrics) TargetWarmup(state string) { m.warmups.get(state).Inc(1) }
+
 // Panic counts a panic that ended only the work in which it arose.
 func (m *Metrics) Panic(work string) { m.panics.get(work).Inc(1) }
 
--- a/node/reload.go
+++ b/node/reload.go
@@ -7,10 +7,11 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dogwoodroute/dogwoodroute/gateway"
+	"github.com/dogwoodroute/dogwoodroute/placement"
 )
 
 // Reload applies settings that have changed while the process runs: the seeds, the retry
-// budget, the limits of probes and of memory, the validity of lists for callers, and the
+// budget, the limits of probes, of cold targets and of memory, the validity of lists for callers, and the
 // shutdown timeout of the next stop. The others need a restart; their names are logged.
 func (n *Node) Reload(s *Settings) {
 	seeds, err := s.seeds()
@@ -23,6 +24,7 @@
 	n.fleet.SetSeeds(seeds)
 	n.gateway.SetRetryBudget(s.retryBudget())
 	n.gateway.SetProbesPerTarget(s.Bounds.ProbesPerTarget)
+	n.gateway.SetWarmup(s.warmupBounds())
 	n.gateway.SetMemoryBytes(s.exchangeBytes())
 	for _, server := range n.servers {
 		server.conns.SetHeaderMemory(s.headerBytes())
@@ -65,6 +67,10 @@
 	return list, nil
 }
 
+func (s *Settings) warmupBounds() placement.WarmupBounds {
+	return placement.WarmupBounds{Overage: s.Bounds.WarmupOverage, Allowance: s.Bounds.WarmupAllowance}
+}
+
 func (s *Settings) retryBudget() gateway.RetryBudget {
 	return gateway.RetryBudget{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Allowance: s.Bounds.RetryAllowance,
 		NewFleet: s.FirstStart}
--- a/placement/advice.go
+++ b/placement/advice.go
@@ -67,20 +67,23 @@
 }
 
 // available reports whether the target wants a request of this instance now.
-func (t *target) available(now time.Duration, share ShareFunc) bool {
-	return !t.leaving.now && now >= t.pausedUntil && t.limit.available(now, t.Target, share)
+func (t *target) available(now time.Duration, p *Placer) bool {
+	return !t.leaving.now && now >= t.pausedUntil && t.limit.available(now, t.Target, p.share) &&
+		t.warmup.available(now, t.Target, p.share, p.settled(now))
 }
 
 // unavailableFor returns the time until the target wants a request, as far as is known,
 // otherwise the largest Duration. It follows a call of available that returned false.
-func (t *target) unavailableFor(now time.Duration) time.Duration {
+func (t *target) unavailableFor(now time.Duration, p *Placer) time.Duration {
 	switch {
 	case t.leaving.now:
 		return math.MaxInt64
 	case now < t.pausedUntil:
 		return t.pausedUntil - now
-	default:
+	case !t.limit.available(now, t.Target, p.share):
 		return t.limit.wait()
+	default:
+		return t.warmup.wait(now)
 	}
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -75,7 +75,7 @@
 func (p *Placer) HasGoodTarget(now time.Duration, r *Request, reports []Report) bool {
 	mean := p.workOf(r.Route).mean
 	for _, report := range reports {
-		if t := p.targets[report.Target.Incarnation()]; t != nil && t.available(now, p.share) {
+		if t := p.targets[report.Target.Incarnation()]; t != nil && t.available(now, p) {
 			if e := p.estimate(now, report, t, mean); e.isGood(now) {
 				return true
 			}
@@ -132,7 +132,7 @@
 	found := false
 	for _, report := range reports {
 		t := p.targets[report.Target.Incarnation()]
-		if t == nil || !t.available(now, p.share) {
+		if t == nil || !t.available(now, p) {
 			continue // removed since the report, or it wants no request
 		}
 		e := p.estimate(now, report, t, w.mean)
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -38,7 +38,10 @@
 	curve := p.curve(t.Service)
 	e.saturation = curve.saturation(e.slots)
 	e.machineSlowdown = max(minSlowness, r.Load.Slowness)
-	if now < t.warmUntil {
+	switch {
+	case t.warmup.cold(now):
+		e.machineSlowdown *= coldSlowdown
+	case now < t.warmUntil && !t.warmup.limited():
 		e.machineSlowdown *= warmupSlowdown
 	}
 	e.slowdown = e.machineSlowdown * curve.at(e.occupiedShare())
@@ -60,5 +63,9 @@
 // cost returns the value by which targets are compared: the expected time,
 // increased for the risk that the target fails.
 func (e *estimate) cost(now time.Duration) time.Duration {
-	return scale(e.duration, 1+failurePenalty*e.target.risk(now))
+	factor := 1 + failurePenalty*e.target.risk(now)
+	if e.target.warmup.cold(now) { // within the objective, its slots are as good as those of others
+		factor /= coldSlowdown
+	}
+	return scale(e.duration, factor)
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -29,6 +29,10 @@
 	queues    map[string]*waitQueue      // by service
 	probes    probeBudget
 	share     ShareFunc
+	// settled reports whether this instance may use its shares of cold targets.
+	settled     func(now time.Duration) bool
+	warmupTerms map[string]shareTerms    // by service, of those that limit the requests of cold targets
+	owned       map[string]*ownedTargets // by service
 }
 
 // New returns a placer without targets for an instance in the failure domain.
@@ -36,7 +40,8 @@
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
-		queues: make(map[string]*waitQueue), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
+		queues: make(map[string]*waitQueue), share: func(*catalog.Target, int) (bool, int) { return true, 1 },
+		settled: func(time.Duration) bool { return true }, owned: make(map[string]*ownedTargets)}
 }
 
 // SetShares sets the function that divides limited targets among the instances. Before
@@ -52,12 +57,14 @@
 		for _, registered := range list {
 			t := p.targets[registered.Incarnation()]
 			if t == nil {
-				t = p.absent.take(registered.Incarnation())
+				if t = p.absent.take(registered.Incarnation()); t != nil {
+					t.warmup.mayHaveBecomeCold(now)
+				}
 			}
 			if t == nil {
 				t = &target{warmUntil: now + registered.WarmupLeft}
 			}
-			t.Target = registered
+			t.Target, t.warmup.terms = registered, p.warmupTerms[name]
 			targets[registered.Incarnation()] = t
 			p.services[name] = append(p.services[name], t)
 		}
@@ -70,6 +77,7 @@
 	}
 	p.absent.expire(now)
 	p.targets = targets
+	clear(p.owned)
 }
 
 // target returns the state of a target, also if its entry is away, or nil if it is unknown.
@@ -135,10 +143,10 @@
 func (p *Placer) HeldBackFor(now time.Duration, service string) time.Duration {
 	wait := time.Duration(math.MaxInt64)
 	for _, t := range p.services[service] {
-		if t.available(now, p.share) {
+		if t.available(now, p) {
 			return 0
 		}
-		wait = min(wait, t.unavailableFor(now))
+		wait = min(wait, t.unavailableFor(now, p))
 	}
 	return wait
 }
@@ -148,6 +156,7 @@
 	if t := p.target(id); t != nil {
 		t.sendTimes = append(t.sendTimes, now)
 		t.limit.take()
+		t.warmup.take()
 		p.queue(t.Service).started(now)
 	}
 }
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -77,6 +77,9 @@
 // unless a probe is due that tells whether they still do not.
 func (p *Placer) eligible(now time.Duration, r *Request, match func(*target) bool) []*target {
 	size := p.subsetSize(r.Service)
+	fits := func(t *target) bool {
+		return match(t) && !slices.Contains(r.Tried, t.Incarnation())
+	}
 	responsive := make([]*target, 0, size)
 	var suspended []*target
 	for _, t := range p.services[r.Service] {
@@ -84,8 +87,8 @@
 			break
 		}
 		switch {
-		case !match(t) || slices.Contains(r.Tried, t.Incarnation()):
-		case !t.available(now, p.share) && !t.recheckDue(now):
+		case !fits(t):
+		case !t.available(now, p) && !t.warmup.unasked(now) && !t.recheckDue(now):
 		case now < t.suspendedUntil:
 			suspended = append(suspended, t)
 		default:
@@ -96,6 +99,9 @@
 		responsive = suspended
 	}
 	p.random.Shuffle(len(responsive), func(i, j int) { responsive[i], responsive[j] = responsive[j], responsive[i] })
+	if t := p.coldCandidate(now, r.Service, fits); t != nil {
+		responsive = slices.Insert(slices.DeleteFunc(responsive, func(other *target) bool { return other == t }), 0, t)
+	}
 	return responsive
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -51,6 +51,7 @@
 	advisedAt   time.Duration
 	leaving     said
 	limit       rateLimit
+	warmup      warmup
 	pausedUntil time.Duration
 }
 
@@ -100,6 +101,7 @@
 	t.consecutiveFailures++
 	pause := firstSuspension << min(t.consecutiveFailures-1, 3)
 	t.suspendedUntil = now + min(pause, maxSuspension)
+	t.warmup.mayHaveBecomeCold(now)
 }
 
 // recordResponse ends the suspension of the target.
