Homes of routes: targets and named instances only in their regions

A route may name the only regions in which its requests may be handled. Nothing read them: requests went to targets in any region, and lists for callers named instances in any.

The placer leaves targets in other regions out, for first sends, retries and hedges, and refuses a request at once if no home has a target of its service. The list for callers of a host with such routes names instances in the regions that these have in common, or in the caller's own region only.

The call HasTargets takes the route; its one test passes an empty route.

--- a/catalog/matcher.go
+++ b/catalog/matcher.go
@@ -9,6 +9,7 @@
 // with the longest prefix. It is immutable.
 type Matcher struct {
 	byHostAndPrefix map[routeKey]*Route
+	homes           homes
 }
 
 type routeKey struct{ host, prefix string }
@@ -16,11 +17,12 @@
 // NewMatcher returns a matcher for the routes, which must not change afterwards. Of
 // routes with the same host and prefix, the first one is used.
 func NewMatcher(routes []Route) *Matcher {
-	m := &Matcher{byHostAndPrefix: make(map[routeKey]*Route, len(routes))}
+	m := &Matcher{byHostAndPrefix: make(map[routeKey]*Route, len(routes)), homes: make(homes)}
 	for i := range routes {
 		key := routeKey{host: routes[i].Host, prefix: routes[i].Prefix}
 		if _, known := m.byHostAndPrefix[key]; !known {
 			m.byHostAndPrefix[key] = &routes[i]
+			m.homes.add(&routes[i])
 		}
 	}
 	return m
--- a/gateway/locality.go
+++ b/gateway/locality.go
@@ -1,6 +1,7 @@
 package gateway
 
-// Locality is the location of a caller that resolves instance addresses.
+// Locality is the location of a caller that resolves instance addresses, and the host of the
+// requests that it will send.
 type Locality struct {
-	Region, FailureDomain string
+	Host, Region, FailureDomain string
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -48,6 +48,9 @@
 	ProbesPerTarget float64
 	// Warmup bounds the requests that a cold target gets from all instances together.
 	Warmup placement.WarmupBounds
+	// DomainRegions holds the region of each failure domain. Only targets in a region of a
+	// route with regions get its requests.
+	DomainRegions map[string]string
 	// MemoryBytes limits the memory of all exchanges: their headers, the bodies of
 	// requests and responses, and the buffers of their connections. A part of it may
 	// hold the parts of request bodies beyond their first 64 KiB, another those of
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -52,6 +52,7 @@
 	if o.Share != nil {
 		placer.SetShares(func(t *catalog.Target, n int) (bool, int) { return o.Share(incarnationHash(t), t.FailureDomain, n) })
 	}
+	placer.SetRegions(o.DomainRegions)
 	placer.SetSettled(func(now time.Duration) bool { return now >= shareStartDelay && !o.Isolated() })
 	loop := owner.New(o.Now)
 	loop.OnPanic(o.OnPanic)
@@ -136,7 +137,7 @@
 	hasTargets, err = owner.Call(ctx, s.loop, func(now time.Duration) bool {
 		service = s.splitter.Next(route)
 		s.retryShare(service).Request(now)
-		return s.placer.HasTargets(service)
+		return s.placer.HasTargets(route, service)
 	})
 	return service, hasTargets, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,7 @@
 			return n.fleet.Snapshot().Share(key, slices.Index(o.Settings.FailureDomains, domain), count)
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
-		Warmup:          o.Settings.warmupBounds(),
+		Warmup: o.Settings.warmupBounds(), DomainRegions: o.Settings.DomainRegions,
 		MemoryBytes:     o.Settings.exchangeBytes(),
 		OnFailureReport: n.fleet.ReportFailure, OnPanic: n.panicked, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
@@ -82,7 +82,7 @@
 	if err != nil {
 		return errors.Wrap(err, "parse caller address")
 	}
-	n.resolver = resolver{domains: s.FailureDomains, port: callers.Port()}
+	n.resolver = resolver{domains: s.FailureDomains, regions: s.DomainRegions, port: callers.Port()}
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
 		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: n.now, OnView: n.viewChanged,
@@ -98,7 +98,7 @@
 		return errors.Wrap(err, "parse caller address")
 	}
 	resolve := func(o gateway.Locality) ([]string, time.Duration) {
-		return n.resolver.resolve(n.fleet.Snapshot(), o), n.settings.Load().resolveValidity()
+		return n.resolver.resolve(n.fleet.Snapshot(), n.fleet.View().Routes, o), n.settings.Load().resolveValidity()
 	}
 	n.servers = []*server{
 		newServer("callers", s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
--- a/node/reload.go
+++ b/node/reload.go
@@ -44,7 +44,8 @@
 		old, new any
 	}{
 		{"ID", s.ID, other.ID}, {"FailureDomain", s.FailureDomain, other.FailureDomain},
-		{"FailureDomains", s.FailureDomains, other.FailureDomains}, {"Addresses", s.Addresses, other.Addresses},
+		{"FailureDomains", s.FailureDomains, other.FailureDomains}, {"DomainRegions", s.DomainRegions, other.DomainRegions},
+		{"Addresses", s.Addresses, other.Addresses},
 		{"Bounds.RetryWindow", s.Bounds.RetryWindow, other.Bounds.RetryWindow},
 	} {
 		if !reflect.DeepEqual(f.old, f.new) {
--- a/node/resolver_test.go
+++ b/node/resolver_test.go
@@ -19,7 +19,7 @@
 	ip := netip.MustParseAddr
 	s := &fleet.Snapshot{Live: []fleet.Instance{{IP: ip("10.0.0.1"), Domain: 0}, {IP: ip("10.0.0.2"), Domain: 0}, {IP: ip("10.0.1.1"), Domain: 1}}}
 	resolve := func(domain string) []string {
-		list := r.resolve(s, gateway.Locality{FailureDomain: domain})
+		list := r.resolve(s, nil, gateway.Locality{FailureDomain: domain})
 		slices.Sort(list)
 		return list
 	}
--- a/placement/advice_test.go
+++ b/placement/advice_test.go
@@ -59,7 +59,7 @@
 				if saidWhileAway { // in the response to a request that was sent before
 					p.Advised(3, a.Incarnation(), advice, placement.Exchange{})
 				}
-				is.Equal(p.HasTargets(service), false)
+				is.Equal(p.HasTargets(&catalog.Route{}, service), false)
 				p.SetTargets(away, map[string][]*catalog.Target{service: {a}})
 				is.True(p.HeldBackFor(away, service) > 0)
 				restarted := *a
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -30,6 +30,7 @@
 	probes    probeBudget
 	share     ShareFunc
 	// settled reports whether this instance may use its shares of cold targets.
+	regions     map[string]string // by failure domain
 	settled     func(now time.Duration) bool
 	warmupTerms map[string]shareTerms    // by service, of those that limit the requests of cold targets
 	owned       map[string]*ownedTargets // by service
@@ -105,8 +106,18 @@
 	p.probes.setRate(now, share*perTarget*float64(len(p.targets)))
 }
 
-// HasTargets reports whether the service has targets that accept new requests.
-func (p *Placer) HasTargets(service string) bool { return len(p.services[service]) > 0 }
+// SetRegions sets the region of each failure domain. Before the call none is known.
+func (p *Placer) SetRegions(regions map[string]string) { p.regions = regions }
+
+// mayHandle reports whether requests of the route may be handled in the region of a target.
+func (p *Placer) mayHandle(route *catalog.Route, t *target) bool {
+	return len(route.Regions) == 0 || slices.Contains(route.Regions, p.regions[t.FailureDomain])
+}
+
+// HasTargets reports whether the service has targets that accept new requests of the route.
+func (p *Placer) HasTargets(route *catalog.Route, service string) bool {
+	return slices.ContainsFunc(p.services[service], func(t *target) bool { return p.mayHandle(route, t) })
+}
 
 // Probed records the result of a probe. It reports whether the target changed
 // between responsive and unresponsive.
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -78,7 +78,7 @@
 func (p *Placer) eligible(now time.Duration, r *Request, match func(*target) bool) []*target {
 	size := p.subsetSize(r.Service)
 	fits := func(t *target) bool {
-		return match(t) && !slices.Contains(r.Tried, t.Incarnation())
+		return match(t) && p.mayHandle(r.Route, t) && !slices.Contains(r.Tried, t.Incarnation())
 	}
 	responsive := make([]*target, 0, size)
 	var suspended []*target
