fleet: lists for callers name no instance that ended during a cut

An instance that was cut off while others ended missed the reports of that, which travel a bounded number of times, and named those others to callers until it probed the silent ones, after up to 25 s with 170 instances.

After two seconds without contact only members count of which a new state has arrived since. When a member that counted as down answers again or refutes it, the reports of all members that are down are repeated, at most once a second.

roster_test.go gets groups of instances that reach each other only; its other tests are unchanged.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -265,7 +265,6 @@
 	if s.GetSelf() == nil {
 		return false
 	}
-	t.lastContact = now
 	sender := memberFromMessage(s.GetSelf())
 	previous := t.roster.peers[sender.IP]
 	isNew = previous == nil || previous.Incarnation != sender.Incarnation
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -38,6 +38,13 @@
 	// removeAfter is how long a silent member is kept and contacted, so that the parts of
 	// a fleet find each other after a partition.
 	removeAfter = 120 * time.Second
+	// contactGap is the time without contact after which an instance may have missed reports
+	// of members that are down. Each is repeated for longer than that, and an instance with
+	// eight exchanges a second has a gap of a second by chance.
+	contactGap = 2 * time.Second
+	// reannounceInterval is the least time between two repetitions of the reports of members
+	// that are down, and so bounds their bytes while links fail and recover.
+	reannounceInterval = time.Second
 )
 
 // Bounds of the other members that one exchange contains.
@@ -68,6 +75,10 @@
 	// scheduled the refutation.
 	declaredDown bool
 	peers        map[netip.Addr]*peer
+	// lastContact is when a peer last answered or called, reachedSince when that began after
+	// a time without any.
+	lastContact, reachedSince time.Duration
+	reannouncedAt             time.Duration
 }
 
 func newRoster(self Member) *roster {
@@ -78,6 +89,9 @@
 // It reports whether the member should be probed, since the reports of others contradict
 // what is known here.
 func (r *roster) merge(now time.Duration, m Member, direct bool) (probe bool) {
+	if direct {
+		r.contacted(now)
+	}
 	if m.IP == r.self.IP {
 		// A state with a later heartbeat than this instance's own is a report by another
 		// instance that this one is down.
@@ -93,6 +107,9 @@
 		return false
 	}
 	if direct {
+		if p.failures >= downAfter || p.State.Has(Down) {
+			r.reannounceDown(now)
+		}
 		p.failures, p.aliveUntil = 0, now+contactValidity
 	}
 	restarted := m.Incarnation != p.Incarnation
@@ -108,6 +125,9 @@
 	if restarted {
 		p.previousIncarnation, p.position, p.reports = p.Incarnation, records.Position{}, reportSync{}
 	}
+	if !restarted && p.State.Has(Down) && !m.State.Has(Down) {
+		r.reannounceDown(now)
+	}
 	if restarted || m.State != p.State {
 		p.transmissions = 0
 	}
@@ -141,6 +161,35 @@
 	return p.failures == 0 && (now < p.aliveUntil || !p.State.Has(Down))
 }
 
+// callable reports whether a peer can be named to callers. After a time without contact the
+// reports of members that went down meanwhile are missing, so only those count of which a new
+// state has arrived since.
+func (r *roster) callable(now time.Duration, p *peer) bool {
+	return p.State.Has(Ready) && !p.State.Has(Leaving) && r.live(now, p) && p.lastSeen >= r.reachedSince
+}
+
+// contacted records that a peer answered or called.
+func (r *roster) contacted(now time.Duration) {
+	if now-r.lastContact > contactGap {
+		r.reachedSince = now
+	}
+	r.lastContact = now
+}
+
+// reannounceDown repeats the reports of the members that are down: a link has recovered, and
+// those behind it may have missed them.
+func (r *roster) reannounceDown(now time.Duration) {
+	if now-r.reannouncedAt < reannounceInterval {
+		return
+	}
+	r.reannouncedAt = now
+	for _, p := range r.peers {
+		if p.State.Has(Down) {
+			p.transmissions = 0
+		}
+	}
+}
+
 // dueProbes returns live peers that have been silent for too long and are to be probed
 // now, at most maxProbesPerTick.
 func (r *roster) dueProbes(now time.Duration) []netip.Addr {
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -15,11 +15,12 @@
 	now    time.Duration
 	list   []*roster
 	down   map[*roster]bool
+	group  map[*roster]int // instances reach those of their own group only
 	byIP   map[netip.Addr]*roster
 }
 
 func newSimulation(n int) *simulation {
-	f := &simulation{random: rand.New(rand.NewPCG(1, 2)), down: make(map[*roster]bool), byIP: make(map[netip.Addr]*roster)}
+	f := &simulation{random: rand.New(rand.NewPCG(1, 2)), down: make(map[*roster]bool), group: make(map[*roster]int), byIP: make(map[netip.Addr]*roster)}
 	for i := range n {
 		member := Member{IP: netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), Incarnation: uint32(i + 1), State: Ready}
 		f.list = append(f.list, newRoster(member))
@@ -46,7 +47,7 @@
 // contact makes an exchange, and repeats it after a failure.
 func (f *simulation) contact(r *roster, ip netip.Addr) {
 	for range downAfter {
-		if other := f.byIP[ip]; !f.down[other] {
+		if other := f.byIP[ip]; !f.down[other] && f.group[other] == f.group[r] {
 			f.deliver(r, other)
 			f.deliver(other, r)
 			return
@@ -157,3 +158,43 @@
 	f.deliver(b, a)
 	is.True(a.peers[c.self.IP].Incarnation == 99)
 }
+
+// Guards against lists for callers that name instances that ended while the instance that
+// answers was cut off from them, alone, with a few or with a whole failure domain.
+func TestListsNameNoInstanceThatIsGone(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ groups, size, seconds int }{{17, 1, 3}, {17, 1, 8}, {4, 5, 4}, {1, 42, 3}, {1, 42, 8}} {
+		f := newSimulation(170)
+		f.run(10 * time.Second)
+		for i := range c.groups * c.size {
+			f.group[f.list[i]] = 1 + i/c.size
+		}
+		f.run(500 * time.Millisecond)
+		for i := range 20 {
+			f.down[f.list[4+8*i]] = true
+		}
+		f.run(time.Duration(c.seconds) * time.Second)
+		clear(f.group)
+		f.run(max(3, 6-time.Duration(c.seconds)) * time.Second)
+		gone, least := 0, len(f.list)
+		for _, r := range f.list {
+			if f.down[r] {
+				continue
+			}
+			named := 0
+			for _, p := range r.peers {
+				switch {
+				case !r.callable(f.now, p):
+				case f.down[f.byIP[p.IP]]:
+					gone++
+				default:
+					named++
+				}
+			}
+			least = min(least, named)
+		}
+		t.Logf("%+v: %d entries of instances that are gone, %d of running ones in the shortest list", c, gone, least)
+		is.Equal(gone, 0)
+		is.True(least > 20)
+	}
+}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -60,7 +60,6 @@
 	storeFailing       bool               // the last call to the store failed
 	storeFailures      int                // calls that failed since the store's last answer
 	storeCallAfter     time.Duration      // earliest time of the next call if the store has failed and others read first
-	lastContact        time.Duration      // time of the last successful exchange, of either side
 	nextRound          time.Duration
 	round              int
 	exchanging         map[netip.Addr]bool       // peers with an exchange in progress
@@ -318,7 +317,7 @@
 		if now-p.lastSeen < sizeRetention && !p.State.Has(Leaving) {
 			s.members = append(s.members, Instance{IP: p.IP, Domain: p.Domain})
 		}
-		if p.State.Has(Ready) && !p.State.Has(Leaving) && t.roster.live(now, p) {
+		if t.roster.callable(now, p) {
 			s.Live = append(s.Live, Instance{IP: p.IP, Domain: p.Domain})
 		}
 	}
@@ -328,7 +327,7 @@
 		}
 	}
 	s.Size = 1 + len(s.members)
-	s.Isolated = (len(s.members) > 0 || len(t.seeds) > 0) && now-max(t.lastContact, t.started) > isolatedAfter
+	s.Isolated = (len(s.members) > 0 || len(t.seeds) > 0) && now-max(t.roster.lastContact, t.started) > isolatedAfter
 	t.snapshot.Store(s)
 }
 
