Cold targets: no probe to one that asks for a pause or leaves; tests of the states

A target whose last answer is over a second old was probed for its warm-up although it had asked for a pause or left. Now only one that otherwise wants requests is. A share without a settle time fills as it did before the warm-up.

Tests: what counts as cold after each event; owners that all send what they may stay inside half of the bound for five rates; requests stay in the homes of their route.

--- a/placement/sample.go
+++ b/placement/sample.go
@@ -88,7 +88,7 @@
 		}
 		switch {
 		case !fits(t):
-		case !t.available(now, p) && !t.warmup.unasked(now) && !t.recheckDue(now):
+		case !t.available(now, p) && !t.unasked(now, p) && !t.recheckDue(now):
 		case now < t.suspendedUntil:
 			suspended = append(suspended, t)
 		default:
--- a/placement/share.go
+++ b/placement/share.go
@@ -50,7 +50,7 @@
 		wasOwner := s.mine || s.owners == 0
 		s.mine, s.owners = owns(t, s.terms.owners)
 		s.sharedAt = now
-		if s.mine && !wasOwner {
+		if s.mine && !wasOwner && s.terms.settle > 0 {
 			s.fillsFrom = now + s.terms.settle
 		}
 	}
--- a/placement/warmup.go
+++ b/placement/warmup.go
@@ -122,8 +122,12 @@
 	return min(w.share.wait(), w.until-now)
 }
 
-// unasked reports whether only the answer to a probe is missing.
-func (w *warmup) unasked(now time.Duration) bool { return w.limited() && w.current(now) == untold }
+// unasked reports whether the target wants requests of this instance, and only the answer to
+// a probe is missing that says that it is warm.
+func (t *target) unasked(now time.Duration, p *Placer) bool {
+	return t.warmup.limited() && t.warmup.current(now) == untold && !t.leaving.now && now >= t.pausedUntil &&
+		t.limit.available(now, t.Target, p.share)
+}
 
 // ownedTargets are the targets of a service whose requests this instance shares while they
 // are cold, as of at.
@@ -186,7 +190,7 @@
 		if now < t.suspendedUntil || !match(t) {
 			continue
 		}
-		recheck := t.warmup.unasked(now) && (t.warmup.until == 0 || now-t.warmup.until >= ownedRecheck)
+		recheck := t.unasked(now, p) && (t.warmup.until == 0 || now-t.warmup.until >= ownedRecheck)
 		if recheck || t.warmup.current(now) == toldCold && t.available(now, p) {
 			return t
 		}
