Cold targets: owners are looked up once per target and two seconds, without allocation

Each view change made an instance look up the owners of all targets again: 16.5 us each among 170 members, 189 targets, up to ten views a second during a release. The order of owners is unchanged.

--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -46,8 +46,11 @@
 
 // shareOrder returns the sort key of an instance among those that may share a key.
 func shareOrder(key uint64, i Instance) uint64 {
+	var b [12]byte // on the stack: this runs for each member and each target with an owner
 	ip := i.IP.As4()
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(ip[:], key))
+	copy(b[:], ip[:])
+	binary.BigEndian.PutUint64(b[len(ip):], key)
+	return xxhash.Sum64(b[:])
 }
 
 // unknownDomain is the domain of an instance of which only the address is known. It counts
--- a/placement/warmup.go
+++ b/placement/warmup.go
@@ -23,7 +23,7 @@
 	boundPerView = 0.5
 	// ownedInterval is the time between two looks at which targets this instance owns, and
 	// ownedRecheck the time after which it probes those outside of its subset again.
-	ownedInterval = time.Second
+	ownedInterval = 2 * time.Second
 	ownedRecheck  = 2 * time.Second
 	// coldSlowdown is the time that work takes on a cold target, as a multiple of the time
 	// when it is warm.
@@ -62,6 +62,10 @@
 	// until is when the answer ceases to count, and untoldAt when the target may last have
 	// become cold without telling.
 	until, untoldAt time.Duration
+	// owned is whether this instance is an owner, as of ownedAt, which is 0 before the first
+	// look. It is kept also while the target is warm.
+	owned   bool
+	ownedAt time.Duration
 }
 
 // limited reports whether the service limits the requests of cold targets.
@@ -175,7 +179,11 @@
 	if o == nil || now-o.at >= ownedInterval {
 		o = &ownedTargets{at: now}
 		for _, t := range p.services[service] {
-			if mine, _ := p.share(t.Target, t.warmup.terms.owners); mine {
+			if w := &t.warmup; w.ownedAt == 0 || now-w.ownedAt >= ownedInterval {
+				w.owned, _ = p.share(t.Target, w.terms.owners)
+				w.ownedAt = now
+			}
+			if t.warmup.owned {
 				o.list = append(o.list, t)
 			}
 		}
