Cold targets: owners probe warm targets outside of their subset every 10 s

One cause are probes every two seconds to targets that an instance owns and does not use. They serve to notice a target that became cold unseen; those with a new entry are probed at once.

--- a/placement/warmup.go
+++ b/placement/warmup.go
@@ -22,9 +22,11 @@
 	// use. While views differ two sets of owners send.
 	boundPerView = 0.5
 	// ownedInterval is the time between two looks at which targets this instance owns, and
-	// ownedRecheck the time after which it probes those outside of its subset again.
+	// ownedRecheck the time after which it probes those outside of its subset again: new
+	// entries and entries that came back are probed at once, and each probe of a target that
+	// is rarely used may cost a connection.
 	ownedInterval = 2 * time.Second
-	ownedRecheck  = 2 * time.Second
+	ownedRecheck  = 10 * time.Second
 	// coldSlowdown is the time that work takes on a cold target, as a multiple of the time
 	// when it is warm.
 	coldSlowdown = 2.0
