Cold targets: those in the subset keep their place

Cold targets now keep their place in the subset, and requests go to warm ones of other domains, or to owned ones.

--- a/placement/sample.go
+++ b/placement/sample.go
@@ -82,13 +82,17 @@
 	}
 	responsive := make([]*target, 0, size)
 	var suspended []*target
+	cold := 0
 	for _, t := range p.services[r.Service] {
-		if len(responsive) == size {
+		if len(responsive)+cold == size {
 			break
 		}
 		switch {
 		case !fits(t):
 		case !t.available(now, p) && !t.unasked(now, p) && !t.recheckDue(now):
+			if t.warmup.cold(now) {
+				cold++ // it keeps its place: others would cost a connection for a few seconds
+			}
 		case now < t.suspendedUntil:
 			suspended = append(suspended, t)
 		default:
