--- a/gateway/options.go
+++ b/gateway/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
+	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/shortage"
 )
@@ -46,6 +47,11 @@
 	// ProbesPerTarget limits the probes per second that a target gets from all
 	// instances together. 0: unlimited.
 	ProbesPerTarget float64
+	// Warmup bounds the requests that a cold target gets from all instances together.
+	Warmup placement.WarmupBounds
+	// DomainRegions holds the region of each failure domain. Only targets in a region of a
+	// route with regions get its requests.
+	DomainRegions map[string]string
 	// MemoryBytes limits the memory of all exchanges: their headers, the bodies of
 	// requests and responses, and the buffers of their connections. A part of it may
 	// hold the parts of request bodies beyond their first 64 KiB, another those of
@@ -97,4 +103,6 @@
 	// Delivery counts a response that its caller has not got to the end, by kind: "cut",
 	// "stalled" or "failed".
 	Delivery(end string)
+	// TargetWarmup counts targets that became "cold" or "warm" for this instance.
+	TargetWarmup(state string)
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -165,6 +165,7 @@
 func (noMetrics) Shortage(string, float64)      {}
 func (noMetrics) TurnedAway(int)                {}
 func (noMetrics) Delivery(string)               {}
+func (noMetrics) TargetWarmup(string)           {}
 
 // fixture is a gateway in front of targets.
 type fixture struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -26,6 +26,7 @@
 	tagWork    = "work"
 	tagService = "service"
 	tagRank    = "rank"
+	tagState   = "state"
 )
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -40,6 +41,7 @@
 	reports  *tagged[tally.Counter]
 	advice   *tagged[tally.Counter]
 	partial  *tagged[tally.Counter]
+	warmups  *tagged[tally.Counter]
 	panics   *tagged[tally.Counter]
 	turned   *tagged[tally.Counter]
 	shortage *tagged[tally.Gauge]
@@ -83,6 +85,9 @@
 	m.partial = newTagged(func(end string) tally.Counter {
 		return scope.Tagged(map[string]string{tagKind: end}).Counter("partial_responses_total")
 	})
+	m.warmups = newTagged(func(state string) tally.Counter {
+		return scope.Tagged(map[string]string{tagState: state}).Counter("target_warmups_total")
+	})
 	m.panics = newTagged(func(work string) tally.Counter {
 		return scope.Tagged(map[string]string{tagWork: work}).Counter("panics_total")
 	})
@@ -133,6 +138,9 @@
 // TurnedAway counts a request that is turned away by a shortage, by the rank of its route.
 func (m *Metrics) TurnedAway(rank int) { m.turned.get(strconv.Itoa(rank)).Inc(1) }
 
+// TargetWarmup counts a target that became "cold" or "warm" for this instance.
+func (m *Metrics) TargetWarmup(state string) { m.warmups.get(state).Inc(1) }
+
 // Panic counts a panic that ended only the work in which it arose.
 func (m *Metrics) Panic(work string) { m.panics.get(work).Inc(1) }
 
--- a/node/resolver.go
+++ b/node/resolver.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 )
@@ -28,6 +29,7 @@
 // resolver selects the instances that callers use.
 type resolver struct {
 	domains []string
+	regions map[string]string // by failure domain
 	port    uint16
 	lookups callerLookups
 }
@@ -35,15 +37,17 @@
 // resolve returns the addresses of live instances in random order, for a list that is valid
 // for the given time. It returns only instances of the caller's failure domain if there are
 // at least minLocalInstances of them, and of these some by their weight if they differ. One
-// caller gets the same choice each time; callers behind one address get different ones.
-func (r *resolver) resolve(now time.Duration, s *fleet.Snapshot, o gateway.Locality, validity time.Duration) []string {
+// caller gets the same choice each time; callers behind one address get different ones. For
+// a host with homes, it returns only instances in one of these or in the caller's region;
+// none if there are none. routes is nil before the first configuration.
+func (r *resolver) resolve(now time.Duration, s *fleet.Snapshot, routes *catalog.Matcher, o gateway.Locality, validity time.Duration) []string {
 	caller := o.Caller
 	if r.lookups.isShared(now, caller, validity) {
 		caller = strconv.FormatUint(rand.Uint64(), 16)
 	}
 	domain := slices.Index(r.domains, o.FailureDomain)
-	candidates := s.Live
-	local := slices.DeleteFunc(slices.Clone(s.Live), func(i fleet.Instance) bool { return i.Domain != domain })
+	candidates := r.permitted(s.Live, routes, o)
+	local := slices.DeleteFunc(slices.Clone(candidates), func(i fleet.Instance) bool { return i.Domain != domain })
 	if len(local) >= minLocalInstances {
 		candidates = local
 	}
@@ -55,3 +59,27 @@
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all
 }
+
+// regionOf returns the region of an instance, or "" if it is unknown.
+func (r *resolver) regionOf(i fleet.Instance) string {
+	if i.Domain < 0 || i.Domain >= len(r.domains) {
+		return ""
+	}
+	return r.regions[r.domains[i.Domain]]
+}
+
+// permitted returns the instances that may handle the requests of a host: all, or those in
+// its homes or in the caller's region.
+func (r *resolver) permitted(live []fleet.Instance, routes *catalog.Matcher, o gateway.Locality) []fleet.Instance {
+	if routes == nil {
+		return live
+	}
+	homes, limited := routes.Homes(o.Host)
+	if !limited {
+		return live
+	}
+	return slices.DeleteFunc(slices.Clone(live), func(i fleet.Instance) bool {
+		region := r.regionOf(i)
+		return region != o.Region && !slices.Contains(homes, region)
+	})
+}
--- a/node/weightedchoice_test.go
+++ b/node/weightedchoice_test.go
@@ -77,7 +77,7 @@
 	s := &fleet.Snapshot{Live: unevenInstances(2, 59)}
 	named := make(map[string]bool)
 	lookup := func(now time.Duration) []string {
-		return r.resolve(now, s, gateway.Locality{Caller: "192.0.2.1", FailureDomain: "a"}, 2*time.Second)
+		return r.resolve(now, s, nil, gateway.Locality{Caller: "192.0.2.1", FailureDomain: "a"}, 2*time.Second)
 	}
 	for n := range 200 {
 		for _, address := range lookup(time.Duration(n) * 10 * time.Millisecond) {
