gateway: test of requests that their target drops

A request that may be repeated is hedged, one that may not ends with 504 at its deadline and is not sent again; the connection is closed in both cases.

Tried and left out: a probe before each hedge, so that a target whose load report counts fewer requests than are in flight to it is not waited for. A request that may not be repeated is not ended before its deadline either: with lost packets its response may still come.

--- a/gateway/fulltargets_test.go
+++ b/gateway/fulltargets_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 )
 
 const fullTargetSlots = 4 // as the fixture registers its targets
@@ -76,3 +78,30 @@
 		})
 	}
 }
+
+// Guards against waiting until the deadline for a target that has dropped a request that may be
+// repeated, against a second run of one that may not, and against later requests on the
+// connection, which are never answered either.
+func TestRequestDroppedByItsTarget(t *testing.T) {
+	for path, status := range map[string]int{"/quick/x": http.StatusOK, "/unsafe/x": http.StatusGatewayTimeout} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			f := start(t, startTarget(t, "a", func(s *target, c net.Conn, r *http.Request, body []byte) bool {
+				defer close(closed)
+				return hang(s, c, r, body)
+			}))
+			got := make(chan int, 1)
+			go func() { got <- f.send(t, "POST", path, "", "Deadline-Ms", "5000").status }()
+			for f.targets[0].ran.Load() == 0 && len(got) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			f.targets = append(f.targets, startTarget(t, "b", run))
+			f.configure(catalog.Limits{})
+			is.Equal(<-got, status)
+			<-closed
+			is.Equal(len(f.targets[0].received()), 1)
+			is.Equal(f.targets[1].ran.Load() == 1, status == http.StatusOK)
+		})
+	}
+}
