--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -8,9 +8,10 @@
 	"github.com/dogwoodroute/dogwoodroute/records"
 )
 
-// LapseGrace is how long a target is kept after its entry expired while the store
-// was unavailable. A running target registers again within about two seconds after
-// the store is available.
+// LapseGrace is how long a target, or the evacuation of a failure domain, is kept after its
+// entry expired while the store was unavailable or was lost with a restore. A running target
+// registers again within about two seconds after the store is available, and the operators
+// write their records again.
 const LapseGrace = 2 * time.Second
 
 // refusedWait is how long the store must list a registration that was refused, since the
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -64,4 +64,7 @@
 	Domain int
 	// Capacity is that of Member.
 	Capacity uint32
+	// Weight is the load that the instance should get, relative to others: 1 for those with
+	// the smallest capacity.
+	Weight float64
 }
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -292,7 +293,6 @@
 		t.setConfig(r, entry.Config)
 	case entry.EvacuatedDomain != "":
 		t.builder.SetEvacuated(r.Key, entry.EvacuatedDomain)
-		t.options.Log.Info("failure domain evacuated", "domain", entry.EvacuatedDomain, "era", t.set.Position().Era, "revision", r.Revision)
 	case target != nil:
 		accepted := t.builder.SetTarget(r.Key, target)
 		t.options.Log.Info("target reported", "target", target.ID, "address", target.Address, "service", target.Service,
@@ -301,7 +301,12 @@
 }
 
 func (t *Task) publishView(now time.Duration) {
-	t.view.Store(t.builder.Build(now, t.set.Position()))
+	view, before := t.builder.Build(now, t.set.Position()), t.view.Load()
+	t.view.Store(view)
+	if !slices.Equal(view.Evacuated, before.Evacuated) {
+		t.options.Log.Info("evacuated failure domains changed", "domains", view.Evacuated, "before", before.Evacuated,
+			"era", view.Position.Era, "revision", view.Position.Revision)
+	}
 	if t.options.OnView != nil && t.setFlag(Ready, t.options.OnView()) {
 		t.scheduleBroadcast(scopeFew)
 	}
@@ -314,8 +319,13 @@
 	if t.roster.self.State.Has(Ready) {
 		s.Live = append(s.Live, self)
 	}
+	var leaving []Instance // they still use their parts of budgets over a window
 	for _, p := range t.roster.peers {
-		if now-p.lastSeen < sizeRetention && !p.State.Has(Leaving) {
+		switch {
+		case now-p.lastSeen >= sizeRetention:
+		case p.State.Has(Leaving):
+			leaving = append(leaving, p.instance())
+		default:
 			s.members = append(s.members, p.instance())
 		}
 		if p.State.Has(Ready) && !p.State.Has(Leaving) && t.roster.live(now, p) {
@@ -328,7 +338,10 @@
 		}
 	}
 	s.Size = 1 + len(s.members)
-	s.EffectiveSize = s.effectiveSize()
+	selves := []Instance{s.self}
+	setWeights(selves, s.members, leaving, s.Live)
+	s.self = selves[0]
+	s.EffectiveSize = effectiveSize(s.self, append(leaving, s.members...))
 	s.Isolated = (len(s.members) > 0 || len(t.seeds) > 0) && now-max(t.lastContact, t.started) > isolatedAfter
 	t.snapshot.Store(s)
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -33,6 +33,10 @@
 	View func() *catalog.View
 	// Instances returns the number of instances that may be alive.
 	Instances func() int
+	// WeightedInstances is the number of instances that may be alive if all were like this
+	// one. Budgets of the fleet that are used with each request are divided by it. Nil: as
+	// Instances.
+	WeightedInstances func() int
 	// Isolated reports whether this instance has no contact with others that may be alive,
 	// so that it gets no failure reports from them. Nil: never.
 	Isolated func() bool
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -50,7 +50,7 @@
 	loop.OnPanic(o.OnPanic)
 	return &scheduler{loop: loop, placer: placer,
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
-		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
+		budgetOffset: o.Random.Float64(), instances: o.WeightedInstances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
 		metrics: o.Metrics}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -49,8 +49,9 @@
 		return nil, err
 	}
 	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
-		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().EffectiveSize },
-		Isolated: func() bool { return n.fleet.Snapshot().Isolated },
+		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
+		WeightedInstances: func() int { return n.fleet.Snapshot().EffectiveSize },
+		Isolated:          func() bool { return n.fleet.Snapshot().Isolated },
 		Share: func(key uint64, domain string, count int) (bool, int) {
 			return n.fleet.Snapshot().Share(key, slices.Index(o.Settings.FailureDomains, domain), count)
 		},
--- a/node/reload.go
+++ b/node/reload.go
@@ -42,7 +42,7 @@
 		old, new any
 	}{
 		{"ID", s.ID, other.ID}, {"FailureDomain", s.FailureDomain, other.FailureDomain},
-		{"FailureDomains", s.FailureDomains, other.FailureDomains}, {"Addresses", s.Addresses, other.Addresses},
+		{"FailureDomains", s.FailureDomains, other.FailureDomains}, {"Addresses", s.Addresses, other.Addresses}, {"Capacity", s.Capacity, other.Capacity},
 		{"Bounds.RetryWindow", s.Bounds.RetryWindow, other.Bounds.RetryWindow},
 	} {
 		if !reflect.DeepEqual(f.old, f.new) {
--- a/node/resolver.go
+++ b/node/resolver.go
@@ -12,6 +12,11 @@
 )
 
 const (
+	// leaveNotice is the time in which all instances learn that one stops, and a list that
+	// contains it reaches its caller.
+	leaveNotice = 500 * time.Millisecond
+	// minResolveValidity is the least validity of a list, but for the platform's bound.
+	minResolveValidity = 1500 * time.Millisecond
 	// minLocalInstances is the number of live instances in the caller's failure domain
 	// from which the list contains only these. Traffic within a domain is faster, and
 	// bytes between domains cost more.
@@ -19,10 +24,11 @@
 )
 
 // resolveValidity returns how long callers may use a list of instances: as long as an
-// instance that stops accepts connections, so that the lists that contain it have expired
-// then. Each lookup costs a caller two round trips before its request.
+// instance that stops accepts connections after the others know that it does, so that most
+// of the lists that contain it have expired then. Each lookup costs a caller two round
+// trips before its request, so it is not shorter than minResolveValidity.
 func (s *Settings) resolveValidity() time.Duration {
-	return min(s.acceptTime(), s.Bounds.ResolveValidity)
+	return min(max(minResolveValidity, s.acceptTime()-leaveNotice), s.Bounds.ResolveValidity)
 }
 
 // resolver selects the instances that callers use.
@@ -38,7 +44,7 @@
 // caller gets the same choice each time; callers behind one address get different ones.
 func (r *resolver) resolve(now time.Duration, s *fleet.Snapshot, o gateway.Locality, validity time.Duration) []string {
 	caller := o.Caller
-	if r.lookups.isShared(now, caller, validity) {
+	if r.lookups.isShared(now, callerLookup{o.Caller, o.Host}, validity) {
 		caller = strconv.FormatUint(rand.Uint64(), 16)
 	}
 	domain := slices.Index(r.domains, o.FailureDomain)
--- a/node/resolver_test.go
+++ b/node/resolver_test.go
@@ -12,6 +12,20 @@
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 )
 
+// Guards against lists that name an instance for longer than it accepts connections in a
+// stop, and against a lookup before each request where the stop is short.
+func TestValidityOfLists(t *testing.T) {
+	is := is.New(t)
+	validity := func(stop, bound time.Duration) time.Duration {
+		s := &Settings{Bounds: Bounds{ShutdownTimeout: stop, ResolveValidity: bound}}
+		return s.resolveValidity()
+	}
+	is.Equal(validity(6*time.Second, 5*time.Second), 2150*time.Millisecond)
+	is.Equal(validity(30*time.Second, 5*time.Second), 5*time.Second)
+	is.Equal(validity(time.Second, 5*time.Second), minResolveValidity)
+	is.Equal(validity(6*time.Second, time.Second), time.Second)
+}
+
 // Guards against sending callers to other failure domains while their own has enough
 // instances, and against leaving out the other domains when it has not.
 func TestResolveNamesTheNearestInstances(t *testing.T) {
--- a/node/weightedchoice.go
+++ b/node/weightedchoice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 
@@ -10,8 +11,8 @@
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 )
 
-// minListed is the least number of instances in a list that leaves some out, so that a
-// caller has others to try when one fails.
+// minListed is the least number of instances in a list that leaves some out. A caller tries
+// another one when one fails, and some may fail together.
 const minListed = 5
 
 // chooseByWeight returns the instances that a caller uses. Callers take one of the list at
@@ -20,14 +21,12 @@
 // weight allows. The choice for a caller changes only with the instances, so that its open
 // connections stay in use. It returns all if their weights are equal.
 func chooseByWeight(list []fleet.Instance, caller string) []fleet.Instance {
-	smallest := fleet.SmallestCapacity(list)
-	sum, heaviest := 0.0, 0.0
+	sum, heaviest, lightest := 0.0, 0.0, math.Inf(1)
 	for _, i := range list {
-		w := i.Weight(smallest)
-		sum += w
-		heaviest = max(heaviest, w)
+		sum += i.Weight
+		heaviest, lightest = max(heaviest, i.Weight), min(lightest, i.Weight)
 	}
-	if heaviest <= 1 {
+	if heaviest <= lightest {
 		return list
 	}
 	count := max(minListed, int(math.Round(sum/heaviest)))
@@ -40,7 +39,7 @@
 	}
 	order := make([]ranked, len(list))
 	for n, i := range list {
-		order[n] = ranked{i, callerKey(caller, i) / i.Weight(smallest)}
+		order[n] = ranked{i, callerKey(caller, i) / i.Weight}
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.key, b.key) })
 	chosen := make([]fleet.Instance, count)
@@ -50,13 +49,12 @@
 	return chosen
 }
 
-// callerKey returns a number from 0 to 1 that depends on the caller and the instance only.
+// callerKey returns a number from 0 to less than 1 that depends on the caller and the instance only.
 // The lowest ones after division by the weights choose each instance about as often as its
 // weight demands (sequential Poisson sampling).
 func callerKey(caller string, i fleet.Instance) float64 {
 	ip := i.IP.As4()
-	h := xxhash.New()
+	h := xxhash.NewWithSeed(uint64(binary.BigEndian.Uint32(ip[:])))
 	_, _ = h.WriteString(caller) // a hash never fails
-	_, _ = h.Write(ip[:])
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
