--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -59,7 +59,7 @@
 	loop.OnPanic(o.OnPanic)
 	return &scheduler{loop: loop, placer: placer,
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
-		budgetOffset: o.Random.Float64(), instances: o.Instances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, warmup: o.Warmup, log: o.Log,
+		budgetOffset: o.Random.Float64(), instances: o.WeightedInstances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, warmup: o.Warmup, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
 		metrics: o.Metrics, shortages: newShortages(o, placer)}
 }
--- a/node/reload.go
+++ b/node/reload.go
@@ -45,7 +45,7 @@
 		old, new any
 	}{
 		{"ID", s.ID, other.ID}, {"FailureDomain", s.FailureDomain, other.FailureDomain},
-		{"FailureDomains", s.FailureDomains, other.FailureDomains}, {"DomainRegions", s.DomainRegions, other.DomainRegions},
+		{"FailureDomains", s.FailureDomains, other.FailureDomains}, {"DomainRegions", s.DomainRegions, other.DomainRegions}, {"Capacity", s.Capacity, other.Capacity},
 		{"Addresses", s.Addresses, other.Addresses},
 		{"Bounds.RetryWindow", s.Bounds.RetryWindow, other.Bounds.RetryWindow},
 	} {
