fleet: a cut link between two failure domains is no reason to call members down

Instances of a third domain stopped naming up to a third of the fleet to callers while two domains could not reach each other, in one direction or both, and versions took up to 1 s to cross.

Cause: an instance that gets no answer twice reported the member down to all, whatever the link. The member refuted it, and the next report followed. Changes reached the other domain only through regular exchanges.

Change: at the first failure of a member of another domain, two instances of third domains are asked (flag Suspected in the members of an exchange); the member is down if one of them does not reach it, or if no third domain answers. Members of the own domain are judged as before. The first reader sends changes for a domain of which it reaches nobody through a member of another one. Whoever reaches a member again tries the others of its domain.

Size of the fleet, by which shares are divided, and isolation were right before, too. No instance of the first two domains names the unreached ones to callers, as before.

Not done: crash checks of the gateway still take a target behind a cut link for crashed.

--- a/fleet/broadcast.go
+++ b/fleet/broadcast.go
@@ -16,6 +16,9 @@
 	changesAfter records.Position
 	// relay are the instances to which the peer forwards the broadcast.
 	relay []netip.Addr
+	// suspects are members that this instance does not reach, which the peer is asked to
+	// confirm as down.
+	suspects []netip.Addr
 }
 
 // merge adds another broadcast for the same peer.
@@ -27,4 +30,5 @@
 		b.sendChanges = true
 	}
 	b.relay = append(b.relay, other.relay...)
+	b.suspects = append(b.suspects, other.suspects...)
 }
--- a/fleet/dissemination.go
+++ b/fleet/dissemination.go
@@ -52,7 +52,8 @@
 func (t *Task) broadcastNow(now time.Duration) {
 	reach := t.broadcastScope
 	t.broadcastScheduled, t.broadcastScope = false, 0
-	for domain, list := range t.liveByDomain(now) {
+	domains := t.liveByDomain(now)
+	for domain, list := range domains {
 		fanout := treeFanout
 		if domain != t.options.Domain {
 			fanout = remoteFanout
@@ -64,11 +65,39 @@
 			t.forward(now, broadcast{sendChanges: true, changesAfter: t.broadcastPosition, relay: list}, fanout)
 		}
 	}
+	if reach == scopeFleet {
+		t.broadcastThroughOthers(now, domains)
+	}
 	if reach != scopeFew {
 		t.broadcastPosition = t.set.Position()
 	}
 }
 
+// broadcastThroughOthers sends a broadcast to the failure domains of which this instance
+// reaches no member, though none is known to be down, through a member of another domain:
+// only the link between the two domains may be cut.
+func (t *Task) broadcastThroughOthers(now time.Duration, live map[int][]netip.Addr) {
+	var relays []netip.Addr
+	for domain, list := range live {
+		if domain != t.options.Domain {
+			relays = append(relays, list[0])
+		}
+	}
+	if len(relays) == 0 {
+		return
+	}
+	unreached := make(map[int][]netip.Addr)
+	for _, p := range t.roster.silentPeers(now) {
+		if _, ok := live[p.Domain]; !ok && !p.State.Has(Down) && !p.State.Has(Leaving) {
+			unreached[p.Domain] = append(unreached[p.Domain], p.IP)
+		}
+	}
+	for _, list := range unreached {
+		slices.SortFunc(list, t.comparePeers)
+		t.contact(now, relays[0], broadcast{sendChanges: true, changesAfter: t.broadcastPosition, relay: list})
+	}
+}
+
 // liveByDomain returns the live peers of each failure domain in this instance's own
 // order, so that broadcasts reuse the same connections.
 func (t *Task) liveByDomain(now time.Duration) map[int][]netip.Addr {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -167,6 +167,13 @@
 	for _, other := range b.relay {
 		state.Relay = append(state.Relay, numberFromAddress(other))
 	}
+	for _, suspect := range b.suspects {
+		if p := t.roster.peers[suspect]; p != nil {
+			m := p.Member
+			m.State |= Suspected
+			state.Members = append(state.Members, memberMessage(m))
+		}
+	}
 	t.exchanging[ip] = true
 	t.send(conn, state, func(now time.Duration, answer *peerapi.FleetState, err error) {
 		if err == nil {
@@ -199,6 +206,7 @@
 		if pending != nil {
 			b.merge(*pending)
 		}
+		t.judgeAgain(now, b.suspects)
 		t.forward(now, b, treeFanout) // the peer does not forward it
 		return
 	}
@@ -227,13 +235,54 @@
 	if failures == 1 {
 		t.options.Log.Warn("peer does not answer, retrying", "peer", ip.String(), "error", err.Error())
 	}
+	if failures == 1 {
+		t.askWitnesses(now, ip)
+	}
 	if failures < downAfter {
 		t.contact(now, ip, broadcast{})
-	} else if failures == downAfter {
+	} else if failures == downAfter && t.roster.peers[ip].State.Has(Down) {
 		t.scheduleBroadcast(scopeFew)
 	}
 }
 
+// askWitnesses asks instances of third failure domains whether a member that does not answer
+// here is down.
+func (t *Task) askWitnesses(now time.Duration, ip netip.Addr) {
+	p := t.roster.peers[ip]
+	if p == nil {
+		return
+	}
+	for _, witness := range t.roster.witnessesOf(now, p) {
+		t.contact(now, witness, broadcast{suspects: []netip.Addr{ip}})
+	}
+}
+
+// judgeAgain handles the failure of a witness: others are asked about the members that do not
+// answer here. If there are none, these members count as down.
+func (t *Task) judgeAgain(now time.Duration, suspects []netip.Addr) {
+	for _, ip := range suspects {
+		if p := t.roster.peers[ip]; p != nil && p.failures >= downAfter && len(t.roster.witnessesOf(now, p)) == 0 {
+			t.roster.markDown(now, p)
+			t.scheduleBroadcast(scopeFew)
+		} else if p != nil && p.failures > 0 {
+			t.askWitnesses(now, ip)
+		}
+	}
+}
+
+// probeDomain contacts members of a failure domain that did not answer, at most
+// maxProbesPerTick, since another member of it answers again: the link to it may work again.
+func (t *Task) probeDomain(now time.Duration, domain int) {
+	probes := 0
+	for _, p := range t.roster.silentPeers(now) {
+		if p.Domain == domain && probes < maxProbesPerTick && now >= p.probeNotBefore && !t.exchanging[p.IP] {
+			p.probeNotBefore = now + contactValidity
+			t.contact(now, p.IP, broadcast{})
+			probes++
+		}
+	}
+}
+
 // stateFor returns the state to send to a peer whose records are complete up to known.
 // If changes is true, it contains the records that the peer lacks: all of them if it has
 // none or the history does not reach back to known.
@@ -275,6 +324,7 @@
 	}
 	if previous != nil && previous.failures > 0 {
 		t.options.Log.Info("peer answers again", "peer", sender.IP.String())
+		defer t.probeDomain(now, previous.Domain)
 	}
 	t.roster.merge(now, sender, true)
 	if p := t.roster.peers[sender.IP]; p != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -123,7 +123,7 @@
 // listen returns the listener and the dialer of an instance.
 func (c *cluster) listen(ip netip.Addr) (net.Listener, func(context.Context, string) (net.Conn, error)) {
 	if c.pipes != nil {
-		return c.pipes.listen(ip), c.pipes.dial
+		return c.pipes.listen(ip), func(ctx context.Context, to string) (net.Conn, error) { return c.pipes.dial(ctx, ip, to) }
 	}
 	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, c.port).String())
 	if err != nil {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -39,6 +39,9 @@
 	// Down is set by others when the member does not answer them. A member that runs
 	// refutes it with a later heartbeat.
 	Down
+	// Suspected is set only in messages, by an instance of another failure domain that does
+	// not reach the member: the receiver is asked to confirm that it is down.
+	Suspected
 )
 
 // Has reports whether at least one of the given flags is set.
@@ -76,6 +79,9 @@
 	probeNotBefore time.Duration
 	// storeFailedSeen is when the last state with StoreFailed arrived, 0 if none did.
 	storeFailedSeen time.Duration
+	// suspectedUntil is the time until which the report of another failure domain counts that
+	// the member does not answer there.
+	suspectedUntil time.Duration
 	// position is the position of its records that the member last reported.
 	position records.Position
 	// readOrder is the cached readOrderHash of the member.
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -38,6 +38,12 @@
 	// removeAfter is how long a silent member is kept and contacted, so that the parts of
 	// a fleet find each other after a partition.
 	removeAfter = 120 * time.Second
+	// suspicionValidity is how long the report of another failure domain counts that a member
+	// does not answer there: longer than two exchanges with it take.
+	suspicionValidity = 3 * time.Second
+	// witnesses is the number of instances that are asked to confirm that a member is down;
+	// one of them may be down itself.
+	witnesses = 2
 )
 
 // Bounds of the other members that one exchange contains.
@@ -88,6 +94,9 @@
 		return false
 	}
 	p := r.peers[m.IP]
+	if m.State.Has(Suspected) {
+		return p != nil && r.suspect(now, p)
+	}
 	if p == nil {
 		r.peers[m.IP] = &peer{Member: m, lastSeen: now, readOrder: m.readOrderHash()}
 		return false
@@ -123,22 +132,60 @@
 }
 
 // recordFailure records a failed exchange with a member and returns how many have failed
-// in a row, 0 for an unknown member. At downAfter failures the member is marked down.
+// in a row, 0 for an unknown member. At downAfter failures the member is marked down, unless
+// it is in another failure domain and a third one can be asked: the link between the two
+// may be cut while all others reach the member.
 func (r *roster) recordFailure(now time.Duration, ip netip.Addr) int {
 	p := r.peers[ip]
 	if p == nil {
 		return 0
 	}
 	p.failures++
-	if p.failures == downAfter && !p.State.Has(Down) {
-		p.State |= Down
-		p.aliveUntil = 0
-		p.Heartbeat += uint32((now-p.lastSeen)/tickInterval) + downMargin
-		p.transmissions = 0
+	if p.failures == downAfter && (now < p.suspectedUntil || len(r.witnessesOf(now, p)) == 0) {
+		r.markDown(now, p)
 	}
 	return p.failures
 }
 
+// markDown marks a member as down, which is passed on.
+func (r *roster) markDown(now time.Duration, p *peer) {
+	if p.State.Has(Down) {
+		return
+	}
+	p.State |= Down
+	p.aliveUntil = 0
+	p.Heartbeat += uint32((now-p.lastSeen)/tickInterval) + downMargin
+	p.transmissions = 0
+}
+
+// suspect handles the report of an instance of another failure domain that a member does not
+// answer there. The member is down if it does not answer here, either. It reports whether
+// the member is to be probed for that.
+func (r *roster) suspect(now time.Duration, p *peer) (probe bool) {
+	p.suspectedUntil = now + suspicionValidity
+	if p.failures >= downAfter {
+		r.markDown(now, p)
+		return false
+	}
+	return !p.State.Has(Down)
+}
+
+// witnessesOf returns the live members that can tell whether a member is down or only the link
+// to its failure domain is cut: those of third domains, in random order, at most witnesses. A member
+// of this instance's own domain, or one that is already known to be down, needs none.
+func (r *roster) witnessesOf(now time.Duration, p *peer) []netip.Addr {
+	if p.Domain == r.self.Domain || p.State.Has(Down) {
+		return nil
+	}
+	var list []netip.Addr
+	for _, other := range r.peers { // maps are iterated in random order
+		if len(list) < witnesses && other.Domain != p.Domain && other.Domain != r.self.Domain && !other.State.Has(Leaving) && r.live(now, other) {
+			list = append(list, other.IP)
+		}
+	}
+	return list
+}
+
 // live reports whether a peer is believed to be running.
 func (r *roster) live(now time.Duration, p *peer) bool {
 	return p.failures == 0 && (now < p.aliveUntil || !p.State.Has(Down))
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -157,3 +157,49 @@
 	f.deliver(b, a)
 	is.True(a.peers[c.self.IP].Incarnation == 99)
 }
+
+// Guards against a member of another failure domain that counts as down since one link is
+// cut, and against one that stays live since nobody may judge it alone.
+func TestMemberOfAnotherDomainIsDownIfTwoDomainsDoNotReachIt(t *testing.T) {
+	is := is.New(t)
+	member := func(i int) Member {
+		return Member{IP: netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), Incarnation: 1, Heartbeat: 1, Domain: i % 3, State: Ready}
+	}
+	remote, suspect := member(1), member(1)
+	suspect.State |= Suspected
+	rosterOf := func(size int) *roster {
+		r := newRoster(member(0))
+		for i := range size {
+			r.merge(0, member(i), true)
+		}
+		return r
+	}
+	down := func(r *roster) bool { return r.peers[remote.IP].State.Has(Down) }
+	fail := func(r *roster, now time.Duration) {
+		for range downAfter {
+			r.recordFailure(now, remote.IP)
+		}
+	}
+
+	reporter := rosterOf(6)
+	is.Equal(len(reporter.witnessesOf(0, reporter.peers[remote.IP])), witnesses)
+	fail(reporter, 0)
+	is.True(!down(reporter))                    // only this domain does not reach it
+	is.True(!reporter.merge(0, suspect, false)) // nor does another one
+	is.True(down(reporter))
+
+	witness := rosterOf(6)
+	is.True(witness.merge(0, suspect, false)) // probed here, too
+	is.True(!down(witness))
+	fail(witness, suspicionValidity-1)
+	is.True(down(witness))
+
+	late := rosterOf(6)
+	late.merge(0, suspect, false)
+	fail(late, suspicionValidity)
+	is.True(!down(late)) // the link may have been cut since
+
+	alone := rosterOf(2) // no third domain
+	fail(alone, 0)
+	is.True(down(alone))
+}
