fleet: an exchange carries up to 48 changed members

With half of 170 instances ended at once, each instance that is left repeats 85 reports 20 times; at 24 an exchange that takes 9 s. Exchanges grow only while that many members change.

--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -52,7 +52,7 @@
 	// maxChangedMembers bounds the changed members. Each instance transmits a change a
 	// number of times that grows with the logarithm of the fleet, see retransmitLimit, so
 	// that the change almost certainly reaches all.
-	maxChangedMembers        = 24
+	maxChangedMembers        = 48
 	minTransmissions         = 4
 	transmissionsPerDoubling = 2
 	// maxReadersSent bounds the readers of the store. There are more of them only while
