shortage: remove routes without demand from the sums and the order

Cause: sums fade, but a route's entry stayed while its service had traffic. One stray request of another rank a minute ago made two groups of routes, so that a service whose routes are all alike got a cut-off and its sums were exchanged. Routes beyond 16 were left out by key, so that 16 without demand could keep one with demand out for good.

Change: routes with less than 0.001 requests are removed as sums fade, routes with less than 1% of the demand have no place in the order, and of more than 16 routes those with most slot time are kept.

--- a/shortage/cutoff.go
+++ b/shortage/cutoff.go
@@ -22,6 +22,10 @@
 	// Means of different instances differ a little while they are exchanged, and routes of
 	// about the same cost need no order.
 	similarSlotTime = 1.25
+	// minDemandShare is the share of the demand below which a route has no place in the
+	// order. What it would give up makes no room, and a few stray requests of one route
+	// must not cause another to be turned away.
+	minDemandShare = 0.01
 )
 
 // Cutoff is which requests for a service are turned away. The zero value turns none away.
@@ -51,7 +55,7 @@
 	}
 	inForce := min(1, max(0, (s.fullness()-shortFullness)/(fullFullness-shortFullness)))
 	level := inForce * s.Refused / (s.Started + s.Refused)
-	groups := groupsOf(s.Routes)
+	groups := groupsOf(s.Routes, minDemandShare*demand)
 	if level < minLevel || len(groups) < 2 {
 		return Cutoff{}
 	}
@@ -75,10 +79,11 @@
 	return c
 }
 
-// groupsOf returns the routes with demand in their order, those that share room together.
-func groupsOf(routes []RouteSums) [][]RouteSums {
+// groupsOf returns the routes with at least this slot time in their order, those that share
+// room together.
+func groupsOf(routes []RouteSums, minSlotTime float64) [][]RouteSums {
 	list := slices.Clone(routes)
-	list = slices.DeleteFunc(list, func(r RouteSums) bool { return r.Requests == 0 || r.SlotTime == 0 })
+	list = slices.DeleteFunc(list, func(r RouteSums) bool { return r.Requests == 0 || r.SlotTime == 0 || r.SlotTime < minSlotTime })
 	slices.SortFunc(list, func(a, b RouteSums) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.meanSlotTime(), b.meanSlotTime()), cmp.Compare(a.Key, b.Key))
 	})
--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -103,7 +103,7 @@
 		r := &sum.Routes[i]
 		r.Requests, r.SlotTime = max(0, r.Requests), max(0, r.SlotTime)
 	}
-	return sum
+	return sum.withMaxRoutes()
 }
 
 // Entries returns all sums.
--- a/shortage/sums.go
+++ b/shortage/sums.go
@@ -14,9 +14,14 @@
 // be seen, and forgotten, too late for requests with objectives of a second.
 const SumsHalfLife = 800 * time.Millisecond
 
-// maxRoutes bounds the routes in Sums, and so the size of a message. Routes beyond it are
-// admitted as if there were no shortage.
-const maxRoutes = 16
+const (
+	// maxRoutes bounds the routes in Sums, and so the size of a message. Those with most
+	// slot time are kept; the others are admitted as if there were no shortage.
+	maxRoutes = 16
+	// minRequests is the sum of requests below which a route is removed: one request of an
+	// instance after ten half-lives.
+	minRequests = 1e-3
+)
 
 // Sums are exponentially decaying sums over what instances saw of one service: sums of one
 // instance, or a mean over several. Only their ratios count.
@@ -58,7 +63,7 @@
 func combine(a Sums, weight float64, b Sums) Sums {
 	sum := Sums{Started: weight*a.Started + b.Started, Refused: weight*a.Refused + b.Refused, Room: weight*a.Room + b.Room, Used: weight*a.Used + b.Used,
 		Routes: make([]RouteSums, 0, max(len(a.Routes), len(b.Routes)))}
-	for i, j := 0, 0; (i < len(a.Routes) || j < len(b.Routes)) && len(sum.Routes) < maxRoutes; {
+	for i, j := 0, 0; i < len(a.Routes) || j < len(b.Routes); {
 		var r RouteSums
 		order := 0
 		switch {
@@ -85,15 +90,32 @@
 	return sum
 }
 
-// scaled returns the sums times x.
-func (s Sums) scaled(x float64) Sums { return combine(s, x, Sums{}) }
+// scaled returns the sums times x, without routes whose requests are then below
+// minRequests.
+func (s Sums) scaled(x float64) Sums {
+	sum := combine(s, x, Sums{})
+	sum.Routes = slices.DeleteFunc(sum.Routes, func(r RouteSums) bool { return r.Requests < minRequests })
+	return sum
+}
+
+// withMaxRoutes removes the routes with least slot time beyond maxRoutes. It modifies s.
+func (s Sums) withMaxRoutes() Sums {
+	if len(s.Routes) > maxRoutes {
+		slices.SortFunc(s.Routes, func(a, b RouteSums) int {
+			return cmp.Or(cmp.Compare(b.SlotTime, a.SlotTime), cmp.Compare(a.Key, b.Key))
+		})
+		s.Routes = s.Routes[:maxRoutes]
+		slices.SortFunc(s.Routes, func(a, b RouteSums) int { return cmp.Compare(a.Key, b.Key) })
+	}
+	return s
+}
 
 // Plus returns the sum of both.
-func (s Sums) Plus(other Sums) Sums { return combine(s, 1, other) }
+func (s Sums) Plus(other Sums) Sums { return combine(s, 1, other).withMaxRoutes() }
 
 // mean returns the mean of both. A route's rank is that of s, which has the
 // configuration in force at this instance, if both know it.
-func (s Sums) mean(other Sums) Sums { return combine(other, 1, s).scaled(0.5) }
+func (s Sums) mean(other Sums) Sums { return combine(other, 1, s).scaled(0.5).withMaxRoutes() }
 
 // faded returns the sums after the elapsed time.
 func (s Sums) faded(elapsed time.Duration) Sums {
