fleet: at most one report of demand waits for the task

Cause: ReportDemand started a goroutine for each call, ten a second, without a bound while the task is busy.

Change: a flag is set while figures wait for the task. While it is set, the placer keeps what it has seen for the next report.

Test: TestReportDemandWaitsForTheTask; without the flag it failed, 100 reports were taken instead of one. It passes, and nothing that was seen is lost.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -13,12 +13,20 @@
 const maxServiceName = 256
 
 // ReportDemand adds what this instance saw of the demand for services and of their room to
-// the figures of the fleet. It never blocks.
-func (t *Task) ReportDemand(list []shortage.Entry) {
+// the figures of the fleet. take returns what it saw since the last call of take; it is not
+// called while the last figures wait for a task that is busy, so that at most one goroutine
+// waits and later figures are kept by their owner. ReportDemand never blocks.
+func (t *Task) ReportDemand(take func() []shortage.Entry) {
+	if !t.demandQueued.CompareAndSwap(false, true) {
+		return
+	}
+	list := take()
 	if len(list) == 0 {
+		t.demandQueued.Store(false)
 		return
 	}
 	go t.loop.Post(func(now time.Duration) {
+		t.demandQueued.Store(false)
 		for _, e := range list {
 			t.demand.Add(now, e.Service, e.Sums)
 		}
--- a/fleet/demand_test.go
+++ b/fleet/demand_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"log/slog"
 	"math"
 	"net/netip"
@@ -59,3 +60,35 @@
 		is.Equal(answer.GetDemand()[0].GetService(), "a")
 	}
 }
+
+// Guards against figures that pile up, each with a goroutine, while the task is busy, and
+// against some that are lost then.
+func TestReportDemandWaitsForTheTask(t *testing.T) {
+	is := is.New(t)
+	task := New(Options{IP: netip.AddrFrom4([4]byte{127, 0, 0, 1}), Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return 0 }})
+	taken, seen := 0, 0.0
+	report := func() {
+		seen++
+		task.ReportDemand(func() []shortage.Entry {
+			list := []shortage.Entry{{Service: "s", Sums: shortage.Sums{Started: seen}}}
+			seen = 0
+			taken++
+			return list
+		})
+	}
+	for range 100 { // the task does not run yet
+		report()
+	}
+	is.Equal(taken, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() { cancel(); <-task.loop.Done() }()
+	go task.loop.Run(ctx, time.Hour, func(time.Duration) {})
+	for task.demandQueued.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	report()
+	is.Equal(taken, 2)
+	for task.Demand() == nil || (*task.Demand())[0].Sums.Started < 101 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -76,6 +76,7 @@
 	failureReports     failureReports            // reports of requests that may crash targets
 	demand             shortage.Ledger           // demand for services, a mean over the fleet
 	publishedDemand    atomic.Pointer[[]shortage.Entry]
+	demandQueued       atomic.Bool  // figures of ReportDemand wait to be added to demand
 	queuedReports      atomic.Int64 // calls of ReportFailure whose report is not yet in failureReports
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -64,10 +64,11 @@
 	// true if the request is blocked from this report on, as its caller may send it to
 	// another instance at once. It must not block.
 	OnFailureReport func(report quarantine.FailureReport, urgent bool)
-	// OnDemand is called several times a second with what this instance saw of the demand
-	// for services and of their room, and Demand returns what the fleet saw, which is no
-	// longer changed. OnDemand must not block. Nil: this instance goes by what it sees itself.
-	OnDemand func([]shortage.Entry)
+	// OnDemand is called several times a second with a function that returns what this
+	// instance saw of the demand for services and of their room since that function was last
+	// called. OnDemand may call it before it returns, and must not block. Demand returns what
+	// the fleet saw, which is no longer changed. Nil: this instance goes by what it sees itself.
+	OnDemand func(take func() []shortage.Entry)
 	Demand   func() *[]shortage.Entry
 	// OnPanic handles a panic in the work on a request, which then ends that work only. Nil:
 	// it ends the process.
--- a/gateway/shortages.go
+++ b/gateway/shortages.go
@@ -20,7 +20,7 @@
 // the placer and the fleet, and logs what changes. The scheduler's goroutine owns it.
 type shortages struct {
 	placer   *placement.Placer
-	onDemand func([]shortage.Entry)
+	onDemand func(take func() []shortage.Entry)
 	demand   func() *[]shortage.Entry
 	known    *[]shortage.Entry // of the last call of demand
 	taken    time.Duration     // when onDemand was last called
@@ -60,7 +60,7 @@
 	}
 	if now-s.taken >= demandInterval {
 		s.taken = now
-		s.onDemand(s.placer.TakeDemand(now))
+		s.onDemand(func() []shortage.Entry { return s.placer.TakeDemand(now) })
 	}
 	if known := s.demand(); known != s.known && known != nil {
 		s.known = known
--- a/gateway/shortages_test.go
+++ b/gateway/shortages_test.go
@@ -36,8 +36,8 @@
 	metrics := countingMetrics{turnedAway: make(map[int]int)}
 	s := newShortages(Options{Log: slog.New(slog.NewTextHandler(&logged, nil)), Metrics: metrics,
 		Demand: func() *[]shortage.Entry { return &known },
-		OnDemand: func(list []shortage.Entry) {
-			for _, e := range list {
+		OnDemand: func(take func() []shortage.Entry) {
+			for _, e := range take() {
 				handedOver += e.Sums.SlotTime()
 			}
 		}}, placement.New("z", rand.New(rand.NewPCG(1, 2))))
