gateway: callers that leave do not count as requests without room

Cause: a request whose caller left, or for which the scheduler gave no result, was recorded as one that found no room.

Change: the scheduler decides in one message whether the request waits, and records that it found no room only if it is refused then and its caller stays.

--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/placement"
@@ -292,15 +294,19 @@
 	return maxWait, retryAfter, err
 }
 
-// recordNoRoom records that a request is refused before it was sent to any target.
-func (s *scheduler) recordNoRoom(r *placement.Request) {
-	s.loop.Post(func(now time.Duration) { s.placer.FoundNoRoom(now, r) })
-}
-
-// startWaiting reports whether a request that found no capacity may wait for it. If
-// so, stopWaiting must be called.
-func (s *scheduler) startWaiting(ctx context.Context, r *placement.Request) (bool, error) {
-	return owner.Call(ctx, s.loop, func(now time.Duration) bool { return s.placer.StartWaiting(now, r) })
+// waitOrRefuse reports whether a request that found no room, and could start in time if it
+// waits for it, may wait. If so, stopWaiting must be called. Otherwise it records that the
+// request found no room, unless it was sent to a target before or its caller has left.
+func (s *scheduler) waitOrRefuse(ctx context.Context, r *placement.Request, inTime bool) (waits bool, err error) {
+	return owner.Call(ctx, s.loop, func(now time.Duration) bool {
+		if inTime && s.placer.StartWaiting(now, r) {
+			return true
+		}
+		if len(r.Tried) == 0 && !errors.Is(ctx.Err(), context.Canceled) {
+			s.placer.FoundNoRoom(now, r)
+		}
+		return false
+	})
 }
 
 // stopWaiting records that a request no longer waits for capacity.
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -72,17 +72,15 @@
 		if p != firstSend {
 			return noRoom
 		}
-		mayWait := max(pause, reserved.heldBackFor) <= r.Arrived+maxWait-g.options.Now()
-		if mayWait && !waiting {
-			waiting, err = g.scheduler.startWaiting(ctx, r)
-			mayWait = err == nil && waiting
+		inTime := max(pause, reserved.heldBackFor) <= r.Arrived+maxWait-g.options.Now()
+		if waiting && inTime {
+			backoff.Sleep(ctx, pause)
+			continue
 		}
-		if !mayWait {
-			if len(r.Tried) == 0 {
-				g.scheduler.recordNoRoom(r)
-			}
+		if waits, err := g.scheduler.waitOrRefuse(ctx, r, inTime); err != nil || !waits {
 			return noRoom
 		}
+		waiting = true
 		backoff.Sleep(ctx, pause)
 	}
 }
