gateway: count requests that targets rejected as refused

Cause: a request that targets answered with "not run", and that was refused in the end, counted as started and never as refused. So the level was too low just where targets shed.

Change: on a final refusal for lack of room or time, after a rejection and without a possible run, its slot time counts as refused instead of started.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,6 +50,14 @@
 		checked: make(chan struct{}, limit), hedgeTimer: time.NewTimer(time.Hour)}
 	defer r.hedgeTimer.Stop()
 	defer r.abandon()
+	final := r.run()
+	r.recordRefusal(final)
+	return final
+}
+
+// run sends the request until there is a final response. It returns nil if the caller is
+// gone.
+func (r *forwarder) run() *response {
 	r.startSelection(firstSend)
 	for {
 		select {
@@ -69,7 +77,7 @@
 			if final := r.recordEnd(f); final != nil {
 				return final
 			}
-			if f.outcome == attemptTimedOut || ctx.Err() != nil {
+			if f.outcome == attemptTimedOut || r.ctx.Err() != nil {
 				return r.expired()
 			}
 			if !r.retry() && r.active == 0 && !r.selecting {
@@ -81,15 +89,26 @@
 				return r.finalResponse(nil)
 			}
 		case <-r.hedgeTimer.C:
-			if x.request.Route.Idempotent && r.mayRetry() && !r.awaitsChecks() {
+			if r.request.Route.Idempotent && r.mayRetry() && !r.awaitsChecks() {
 				r.startSelection(hedging)
 			}
-		case <-ctx.Done():
+		case <-r.ctx.Done():
 			return r.expired()
 		}
 	}
 }
 
+// recordRefusal records a final refusal of a request that targets rejected and none has
+// run: it found no room, although it was sent.
+func (r *forwarder) recordRefusal(final *response) {
+	if final == nil || final.outcome != outcomeNoRoom && final.outcome != outcomeLate || r.mayHaveRun() {
+		return
+	}
+	if r.countAttempts(func(a *attempt) bool { return a.outcome == attemptRejected }) > 0 {
+		r.gateway.scheduler.recordRefusedAfterStart(r.request, r.attempts[0].sentAt)
+	}
+}
+
 // startSelection selects a target in another goroutine, which sends it to selected.
 func (r *forwarder) startSelection(p purpose) {
 	r.selecting = true
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -309,6 +309,12 @@
 	})
 }
 
+// recordRefusedAfterStart records that a request whose first send was at startedAt is
+// refused, as targets rejected it.
+func (s *scheduler) recordRefusedAfterStart(r placement.Request, startedAt time.Duration) {
+	s.loop.Post(func(now time.Duration) { s.placer.RefusedAfterStart(now, startedAt, &r) })
+}
+
 // stopWaiting records that a request no longer waits for capacity.
 func (s *scheduler) stopWaiting(r *placement.Request) {
 	s.loop.Post(func(time.Duration) { s.placer.StopWaiting(r) })
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -131,6 +131,12 @@
 	p.demand.see(now, r.Service, shortage.Sums{Started: p.workOf(r.Route).mean.Seconds()})
 }
 
+// RefusedAfterStart records that a request for which Started was called at startedAt is
+// refused, as targets rejected it.
+func (p *Placer) RefusedAfterStart(now, startedAt time.Duration, r *Request) {
+	p.demand.see(now, r.Service, shortage.RefusedAfterStart(p.workOf(r.Route).mean, now-startedAt))
+}
+
 // admittedShare returns the share of the requests of this route that are admitted now. It
 // is 1 unless the service is short of room and the route is not among those that come first.
 func (p *Placer) admittedShare(now time.Duration, r *Request) float64 {
--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -32,9 +32,11 @@
 	entries map[string]Entry
 }
 
-// Add adds what this instance saw.
+// Add adds what this instance saw. No sum falls below zero.
 func (l *Ledger) Add(now time.Duration, service string, seen Sums) {
-	l.put(now, service, l.Sums(now, service).Plus(seen))
+	sum := l.Sums(now, service).Plus(seen)
+	sum.Started = max(0, sum.Started) // seen may hold the change of RefusedAfterStart
+	l.put(now, service, sum)
 }
 
 // Sums returns the sums of a service.
--- a/shortage/sums.go
+++ b/shortage/sums.go
@@ -59,6 +59,13 @@
 	return Sums{Routes: []RouteSums{{Key: key, Rank: rank, Requests: 1, SlotTime: slotTime.Seconds()}}}
 }
 
+// RefusedAfterStart returns the change to the sums if a request that started this long ago,
+// and has not run, is refused: its slot time counts as refused instead of started.
+func RefusedAfterStart(slotTime, elapsed time.Duration) Sums {
+	started := Sums{Started: slotTime.Seconds()}.faded(elapsed)
+	return Sums{Started: -started.Started, Refused: slotTime.Seconds()}
+}
+
 // combine returns weight times a + b. Where both know a route, it has the rank of b.
 func combine(a Sums, weight float64, b Sums) Sums {
 	sum := Sums{Started: weight*a.Started + b.Started, Refused: weight*a.Refused + b.Refused, Room: weight*a.Room + b.Room, Used: weight*a.Used + b.Used,
