fleet: bounds on the demand that a peer sends

Cause: a message could hold any number of services, more in use than there is room, sums up to 1e6 and a route twice; a peer with implausible figures caused a log line with each exchange.

Change: at most 64 services of a message are read, keys ascend strictly, Used is at most Room, sums are at most 2e4, the level at most 0.95. Ignored figures are counted by implausible_demand_total and logged when a peer begins or ceases to send them. A difference of sums keeps Used at or below Room, so that peers accept it.

Test: three in shortage/sums_test.go, which failed without the changes, and TestImplausibleDemandIsCounted, which needs the new option and was run with the change only.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
@@ -90,24 +91,48 @@
 }
 
 // demandFromMessage returns the figures in a state. It leaves out those that are not
-// plausible.
+// plausible, and all beyond shortage.MaxServices.
 func (t *Task) demandFromMessage(now time.Duration, s *peerapi.FleetState) []shortage.Entry {
 	if s.GetSelf() == nil {
 		return nil
 	}
-	var list []shortage.Entry
-	for _, m := range s.GetDemand() {
-		e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()), Refused: float64(m.GetRefused()),
-			Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
-		for _, r := range m.GetRoutes() {
-			e.Sums.Routes = append(e.Sums.Routes, shortage.RouteSums{Key: shortage.RouteKey(r.GetRoute()),
-				Rank: int(min(r.GetRank(), math.MaxInt32)), Requests: float64(r.GetRequests()), SlotTime: float64(r.GetSlotTime())})
+	received := s.GetDemand()
+	list := make([]shortage.Entry, 0, min(len(received), shortage.MaxServices))
+	for _, m := range received[:min(len(received), shortage.MaxServices)] {
+		if e := demandFromMessage(now, m); len(e.Service) <= maxServiceName && e.Sums.Valid() {
+			list = append(list, e)
 		}
-		if len(e.Service) > maxServiceName || !e.Sums.Valid() {
-			t.options.Log.Warn("implausible demand from peer, ignored", "peer", addressFromNumber(s.GetSelf().GetIp()).String())
-			continue
-		}
-		list = append(list, e)
+	}
+	if len(received) > 0 {
+		t.countImplausibleDemand(addressFromNumber(s.GetSelf().GetIp()), len(received)-len(list))
 	}
 	return list
 }
+
+func demandFromMessage(now time.Duration, m *peerapi.FleetDemand) shortage.Entry {
+	e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()), Refused: float64(m.GetRefused()),
+		Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
+	for _, r := range m.GetRoutes() {
+		e.Sums.Routes = append(e.Sums.Routes, shortage.RouteSums{Key: shortage.RouteKey(r.GetRoute()),
+			Rank: int(min(r.GetRank(), math.MaxInt32)), Requests: float64(r.GetRequests()), SlotTime: float64(r.GetSlotTime())})
+	}
+	return e
+}
+
+// countImplausibleDemand counts n implausible figures in a message of a peer, and logs if
+// the peer has begun to send some, or sends none any more.
+func (t *Task) countImplausibleDemand(from netip.Addr, n int) {
+	if n > 0 && t.options.OnImplausibleDemand != nil {
+		t.options.OnImplausibleDemand(n)
+	}
+	p := t.roster.peers[from]
+	if p == nil || p.implausibleDemand == (n > 0) {
+		return
+	}
+	p.implausibleDemand = n > 0
+	if n > 0 {
+		t.options.Log.Warn("implausible demand from peer, ignored", "peer", from.String(), "services", n)
+	} else {
+		t.options.Log.Info("demand from peer is plausible again", "peer", from.String())
+	}
+}
--- a/fleet/demand_test.go
+++ b/fleet/demand_test.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"math"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +95,29 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a message with more figures than are kept, against implausible ones that
+// go unnoticed, and against a log line for each message.
+func TestImplausibleDemandIsCounted(t *testing.T) {
+	is := is.New(t)
+	var logged bytes.Buffer
+	ignored := 0
+	task := New(Options{IP: netip.AddrFrom4([4]byte{127, 0, 0, 1}), Log: slog.New(slog.NewTextHandler(&logged, nil)), Now: func() time.Duration { return 0 },
+		OnImplausibleDemand: func(n int) { ignored += n }})
+	peer := Member{IP: netip.AddrFrom4([4]byte{127, 0, 0, 2}), Incarnation: 1}
+	message := &peerapi.FleetState{Self: memberMessage(peer)}
+	task.merge(0, message)
+	for i := range shortage.MaxServices + 5 {
+		message.Demand = append(message.Demand, &peerapi.FleetDemand{Service: strconv.Itoa(i)})
+	}
+	message.Demand[0].Used = 1 // above Room
+	for range 10 {
+		is.Equal(len(task.averageDemand(0, message)), shortage.MaxServices-1)
+	}
+	is.Equal(ignored, 60)
+	is.Equal(strings.Count(logged.String(), "implausible demand"), 1)
+	task.averageDemand(0, &peerapi.FleetState{Self: message.Self}) // says nothing
+	message.Demand = message.Demand[1:2]
+	task.averageDemand(0, message)
+	is.Equal(strings.Count(logged.String(), "plausible again"), 1)
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -76,6 +76,8 @@
 	probeNotBefore time.Duration
 	// position is the position of its records that the member last reported.
 	position records.Position
+	// implausibleDemand is set while figures of the member on demand are implausible.
+	implausibleDemand bool
 	// readOrder is the cached readOrderHash of the member.
 	readOrder uint64
 	// transmissions counts how often the last change of the member was sent to peers.
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -43,6 +43,9 @@
 	// OnView, if not nil, is called by the task after each new view. It returns whether
 	// this instance can serve callers with it. It must not block or call the task.
 	OnView func() (ready bool)
+	// OnImplausibleDemand, if not nil, is called by the task with the number of figures in
+	// a message of a peer that it ignores. It must not block.
+	OnImplausibleDemand func(n int)
 	// OnFailureReports, if not nil, is called by the task with new failure reports of
 	// peers. It must not block.
 	OnFailureReports func([]quarantine.FailureReport)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -30,20 +30,21 @@
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
 type Metrics struct {
-	scope    tally.Scope
-	closer   io.Closer
-	handler  http.Handler
-	requests *tagged[tally.Counter]
-	refusals *tagged[tally.Counter]
-	attempts *tagged[tally.Counter]
-	expired  *tagged[tally.Counter]
-	reports  *tagged[tally.Counter]
-	advice   *tagged[tally.Counter]
-	panics   *tagged[tally.Counter]
-	turned   *tagged[tally.Counter]
-	shortage *tagged[tally.Gauge]
-	gauges   *tagged[tally.Gauge]
-	latency  *tagged[tally.Histogram]
+	scope       tally.Scope
+	closer      io.Closer
+	handler     http.Handler
+	requests    *tagged[tally.Counter]
+	refusals    *tagged[tally.Counter]
+	attempts    *tagged[tally.Counter]
+	expired     *tagged[tally.Counter]
+	reports     *tagged[tally.Counter]
+	advice      *tagged[tally.Counter]
+	panics      *tagged[tally.Counter]
+	turned      *tagged[tally.Counter]
+	shortage    *tagged[tally.Gauge]
+	implausible tally.Counter
+	gauges      *tagged[tally.Gauge]
+	latency     *tagged[tally.Histogram]
 }
 
 // New returns empty metrics that carry the instance's name as a tag. Call Close to
@@ -88,6 +89,7 @@
 	m.shortage = newTagged(func(service string) tally.Gauge {
 		return scope.Tagged(map[string]string{tagService: service}).Gauge("shortage_level")
 	})
+	m.implausible = scope.Counter("implausible_demand_total")
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
 		return scope.Tagged(map[string]string{tagRoute: route}).Histogram("request_seconds", latencyBuckets)
@@ -126,6 +128,9 @@
 // TurnedAway counts a request that is turned away by a shortage, by the rank of its route.
 func (m *Metrics) TurnedAway(rank int) { m.turned.get(strconv.Itoa(rank)).Inc(1) }
 
+// ImplausibleDemand counts figures of peers on the demand for services that are ignored.
+func (m *Metrics) ImplausibleDemand(n int) { m.implausible.Inc(int64(n)) }
+
 // Panic counts a panic that ended only the work in which it arose.
 func (m *Metrics) Panic(work string) { m.panics.get(work).Inc(1) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -86,8 +86,9 @@
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
 		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: n.now, OnView: n.viewChanged,
-		OnPanic:          n.panicked,
-		OnFailureReports: func(list []quarantine.FailureReport) { n.gateway.AddFailureReports(list) }})
+		OnPanic:             n.panicked,
+		OnImplausibleDemand: n.metrics.ImplausibleDemand,
+		OnFailureReports:    func(list []quarantine.FailureReport) { n.gateway.AddFailureReports(list) }})
 	return nil
 }
 
--- a/shortage/cutoff.go
+++ b/shortage/cutoff.go
@@ -18,6 +18,9 @@
 	// minLevel is the part of the demand below which nothing is turned away: so little
 	// waits for room that comes in time.
 	minLevel = 0.03
+	// maxLevel bounds the part of the demand that is turned away. What still starts shows
+	// when there is room again, also where figures are wrong.
+	maxLevel = 0.95
 	// similarSlotTime is the ratio up to which two mean slot times count as the same.
 	// Means of different instances differ a little while they are exchanged, and routes of
 	// about the same cost need no order.
@@ -54,7 +57,7 @@
 		return Cutoff{}
 	}
 	inForce := min(1, max(0, (s.fullness()-shortFullness)/(fullFullness-shortFullness)))
-	level := inForce * s.Refused / (s.Started + s.Refused)
+	level := min(maxLevel, inForce*s.Refused/(s.Started+s.Refused))
 	groups := groupsOf(s.Routes, minDemandShare*demand)
 	if level < minLevel || len(groups) < 2 {
 		return Cutoff{}
--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxServices bounds the services whose sums are kept and sent.
-	maxServices = 64
+	// MaxServices bounds the services whose sums are kept and sent.
+	MaxServices = 64
 	// forgetAfter is the time without news of a service after which its sums, which have
 	// faded to a thousandth, are removed.
 	forgetAfter = 10 * SumsHalfLife
@@ -49,9 +49,9 @@
 	if l.entries == nil {
 		l.entries = make(map[string]Entry)
 	}
-	if _, ok := l.entries[service]; !ok && len(l.entries) >= maxServices {
+	if _, ok := l.entries[service]; !ok && len(l.entries) >= MaxServices {
 		maps.DeleteFunc(l.entries, func(_ string, e Entry) bool { return now-e.At >= forgetAfter })
-		if len(l.entries) >= maxServices {
+		if len(l.entries) >= MaxServices {
 			return
 		}
 	}
@@ -114,7 +114,7 @@
 // changed returns s - before + after, without sums below zero.
 func (s Sums) changed(before, after Sums) Sums {
 	sum := combine(combine(before, -1, after), 1, s)
-	sum.Started, sum.Refused, sum.Room, sum.Used = max(0, sum.Started), max(0, sum.Refused), max(0, sum.Room), max(0, sum.Used)
+	sum.Started, sum.Refused, sum.Room, sum.Used = max(0, sum.Started), max(0, sum.Refused), max(0, sum.Room), max(0, min(sum.Used, sum.Room))
 	for i := range sum.Routes {
 		r := &sum.Routes[i]
 		r.Requests, r.SlotTime = max(0, r.Requests), max(0, r.SlotTime)
--- a/shortage/sums.go
+++ b/shortage/sums.go
@@ -164,13 +164,19 @@
 // Valid reports whether the sums of a message are plausible.
 func (s Sums) Valid() bool {
 	plausible := func(list ...float64) bool {
-		return !slices.ContainsFunc(list, func(x float64) bool { return !(x >= 0 && x < maxSum) })
+		return !slices.ContainsFunc(list, func(x float64) bool { return !(x >= 0 && x <= maxSum) })
 	}
-	return len(s.Routes) <= maxRoutes && plausible(s.Started, s.Refused, s.Room, s.Used) &&
-		!slices.ContainsFunc(s.Routes, func(r RouteSums) bool { return !plausible(r.Requests, r.SlotTime) }) &&
-		slices.IsSortedFunc(s.Routes, func(a, b RouteSums) int { return cmp.Compare(a.Key, b.Key) })
+	if len(s.Routes) > maxRoutes || !plausible(s.Started, s.Refused, s.Room, s.Used) || s.Used > s.Room {
+		return false
+	}
+	for i, r := range s.Routes {
+		if !plausible(r.Requests, r.SlotTime) || i > 0 && r.Key <= s.Routes[i-1].Key {
+			return false
+		}
+	}
+	return true
 }
 
 // maxSum bounds a sum in a message. An instance that handles 10,000 requests a second has
-// sums of about 15,000.
-const maxSum = 1e6
+// sums of about 12,000.
+const maxSum = 2e4
--- a/shortage/sums_test.go
+++ b/shortage/sums_test.go
@@ -1,6 +1,7 @@
 package shortage
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -51,3 +52,43 @@
 	is.True(has(few.changed(Sums{}, much)))
 	is.True(few.Plus(much).Valid()) // still sorted by key
 }
+
+// Guards against sums of a peer that cannot be and decide for the fleet.
+func TestImplausibleSumsAreInvalid(t *testing.T) {
+	is := is.New(t)
+	good := Request(1, 0, time.Second).Plus(Request(2, 0, time.Second))
+	good.Room, good.Used = 4, 4
+	is.True(good.Valid())
+	for name, change := range map[string]func(*Sums){
+		"used above room":  func(s *Sums) { s.Used = 4.1 },
+		"too large":        func(s *Sums) { s.Started = 2.1e4 },
+		"not a number":     func(s *Sums) { s.Refused = math.NaN() },
+		"negative":         func(s *Sums) { s.Routes[0].SlotTime = -1 },
+		"route twice":      func(s *Sums) { s.Routes[1].Key = 1 },
+		"routes unsorted":  func(s *Sums) { s.Routes[0].Key = 3 },
+		"too many routes":  func(s *Sums) { s.Routes = make([]RouteSums, maxRoutes+1) },
+		"infinite request": func(s *Sums) { s.Routes[1].Requests = math.Inf(1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := good
+			s.Routes = slices.Clone(good.Routes)
+			change(&s)
+			if s.Valid() {
+				t.Errorf("%+v is valid", s)
+			}
+		})
+	}
+}
+
+// Guards against a wrong figure by which nothing starts any more.
+func TestLevelIsBounded(t *testing.T) {
+	is := is.New(t)
+	is.Equal(NewCutoff(short(0, 1)).Level, maxLevel)
+}
+
+// Guards against a difference of sums that peers refuse as implausible.
+func TestDifferenceOfSumsIsValid(t *testing.T) {
+	is := is.New(t)
+	s := Sums{Room: 1, Used: 1}.changed(Sums{Room: 1, Used: 0.2}, Sums{Room: 0.5, Used: 0.5})
+	is.True(s.Valid())
+}
