shortage: an earlier time does not move an entry back

Cause: a report that was taken before the last change of an entry set the time of the entry back, so that its sums faded twice.

Change: the time of an entry never falls.

Test: TestEarlierTimeDoesNotFadeSums failed before, passes now.

--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -49,13 +49,16 @@
 	if l.entries == nil {
 		l.entries = make(map[string]Entry)
 	}
-	if _, ok := l.entries[service]; !ok && len(l.entries) >= MaxServices {
+	e, ok := l.entries[service]
+	if !ok && len(l.entries) >= MaxServices {
 		maps.DeleteFunc(l.entries, func(_ string, e Entry) bool { return now-e.At >= forgetAfter })
 		if len(l.entries) >= MaxServices {
 			return
 		}
 	}
-	l.entries[service] = Entry{Service: service, Sums: s, At: now}
+	// An earlier time, as of a report that was taken before a message was handled, would
+	// let the sums fade twice.
+	l.entries[service] = Entry{Service: service, Sums: s, At: max(now, e.At)}
 }
 
 // ToSend returns the sums with which to start an exchange, as of now and sorted by service:
--- a/shortage/ledger_test.go
+++ b/shortage/ledger_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // Guards against exchanges in which full instances count more than others: a fleet whose
@@ -52,3 +54,12 @@
 		t.Errorf("mean fullness %.3f instead of 0.733, %.4f of the demand turned away", mean, turned)
 	}
 }
+
+// Guards against sums that fade twice after a report with an earlier time.
+func TestEarlierTimeDoesNotFadeSums(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	l.Add(time.Second, "s", Sums{Started: 2})
+	l.Add(time.Second/2, "s", Sums{Started: 1})
+	is.Equal(l.Sums(time.Second, "s").Started, 3.0)
+}
