placement, gateway: drop state of services that are gone

Cause: cut-offs, usual time-outs and logged shortages were kept for each service that ever was.

Change: the first two are dropped when the targets change, logged shortages once they are over.

--- a/gateway/shortages.go
+++ b/gateway/shortages.go
@@ -94,10 +94,14 @@
 	last.at, last.cutoff = now, cutoff
 }
 
-// update records the services that were short of room and may have got no request since.
+// update records the services that were short of room and may have got no request since,
+// and removes those whose shortage is over.
 func (s *shortages) update(now time.Duration) {
 	s.synchronize(now)
-	for service := range s.logged {
+	for service, last := range s.logged {
 		s.record(now, service)
+		if last.cutoff.Level == 0 && now-last.at >= shortageLogInterval && s.placer.Cutoff(now, service).Level == 0 {
+			delete(s.logged, service)
+		}
 	}
 }
--- a/gateway/shortages_test.go
+++ b/gateway/shortages_test.go
@@ -56,6 +56,8 @@
 	is.Equal(strings.Count(logged.String(), "service is short of room"), 1)
 	s.update(now + 20*time.Second) // the figures have faded
 	is.Equal(strings.Count(logged.String(), "no longer short of room"), 1)
+	s.update(now + 22*time.Second)
+	is.Equal(len(s.logged), 0) // services that are gone are not kept
 }
 
 // Guards against a request that is counted as turned away and is sent all the same, as its
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/shortage"
@@ -20,8 +21,8 @@
 	seen map[string]shortage.Sums
 	// cutoffs is by service.
 	cutoffs map[string]timedCutoff
-	// waited holds the longest times that callers state to have, by route name.
-	waited map[string]*usualTimeout
+	// usualTimeouts holds the longest times that callers state to have, by route name.
+	usualTimeouts map[string]*usualTimeout
 }
 
 // timedCutoff is a cut-off that was derived at a time.
@@ -39,6 +40,12 @@
 	d.known.Add(now, service, s)
 }
 
+// keepServices removes what is known of services that are not in the list.
+func (d *demand) keepServices(services map[string][]*target) {
+	maps.DeleteFunc(d.cutoffs, func(service string, _ timedCutoff) bool { return services[service] == nil })
+	maps.DeleteFunc(d.usualTimeouts, func(_ string, u *usualTimeout) bool { return services[u.service] == nil })
+}
+
 // TakeDemand returns what this instance has seen since the last call, for the fleet.
 func (p *Placer) TakeDemand(now time.Duration) []shortage.Entry {
 	list := make([]shortage.Entry, 0, len(p.demand.seen))
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -71,6 +71,7 @@
 	}
 	p.absent.expire(now)
 	p.targets = targets
+	p.demand.keepServices(p.services)
 }
 
 // target returns the state of a target, also if its entry is away, or nil if it is unknown.
--- a/placement/timeout.go
+++ b/placement/timeout.go
@@ -18,7 +18,10 @@
 // try. Instances do not know each other's refusals, and a caller that returns names
 // neither its first request nor the instance that refused it: only the time that it lacks
 // tells that it has waited.
-type usualTimeout struct{ longest time.Duration }
+type usualTimeout struct {
+	longest time.Duration
+	service string // of the last request
+}
 
 // observe adds the time that a caller states to have, and returns how much less that is
 // than usual.
@@ -38,14 +41,15 @@
 	if r.CallerTimeout <= 0 {
 		return 0
 	}
-	if p.demand.waited == nil {
-		p.demand.waited = make(map[string]*usualTimeout)
+	if p.demand.usualTimeouts == nil {
+		p.demand.usualTimeouts = make(map[string]*usualTimeout)
 	}
-	u := p.demand.waited[r.Route.Name]
+	u := p.demand.usualTimeouts[r.Route.Name]
 	if u == nil {
 		u = new(usualTimeout)
-		p.demand.waited[r.Route.Name] = u
+		p.demand.usualTimeouts[r.Route.Name] = u
 	}
+	u.service = r.Service
 	lacks := u.observe(r.CallerTimeout)
 	if lacks < minWaited || lacks > scale(u.longest, maxWaitedShare) {
 		return 0
