placement: bound the stated time that counts as usual

Cause: one caller that states an hour hid for hundreds of requests of its route what callers that return lack.

Change: a stated time counts as at most eight objectives of the route.

Test: TestLongTimeoutDoesNotHideReturningCallers failed before, passes now.

--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -76,3 +76,23 @@
 	}
 	is.True(counts[0] > counts[1]+10)
 }
+
+// Guards against one caller with a very long time-out, by which others that return no
+// longer count as such.
+func TestLongTimeoutDoesNotHideReturningCallers(t *testing.T) {
+	is := is.New(t)
+	counts := make([]int, 2)
+	for i, longest := range []time.Duration{8 * objective, time.Hour} {
+		p := newPlacer(newTarget("a", "near"))
+		figure := shortFigure()
+		figure[0].Sums.Started, figure[0].Sums.Refused = 3000, 2000
+		p.SetDemand(0, figure)
+		counts[i] = turnedAway(p, func(n int) time.Duration {
+			if n == 0 {
+				return longest
+			}
+			return 8*objective - 100*time.Millisecond
+		}, 2)[0]
+	}
+	is.Equal(counts[0], counts[1])
+}
--- a/placement/timeout.go
+++ b/placement/timeout.go
@@ -12,6 +12,10 @@
 	// maxWaitedShare is the part of the usual time above which a caller that lacks it is
 	// taken for one with a shorter time-out of its own.
 	maxWaitedShare = 0.5
+	// maxTimeoutObjectives bounds the stated time that is taken for the usual one, in
+	// objectives of the route. A single caller that states an hour would hide for hundreds of
+	// requests what others lack.
+	maxTimeoutObjectives = 8
 )
 
 // usualTimeout is the time that the callers of a route usually state to have for a first
@@ -50,7 +54,7 @@
 		p.demand.usualTimeouts[r.Route.Name] = u
 	}
 	u.service = r.Service
-	lacks := u.observe(r.CallerTimeout)
+	lacks := u.observe(min(r.CallerTimeout, maxTimeoutObjectives*r.objective()))
 	if lacks < minWaited || lacks > scale(u.longest, maxWaitedShare) {
 		return 0
 	}
