placement, shortage: plainer names, constants in one block

The comment on the outcome turned-away names requests of the same rank that need less slot time. No change of behaviour.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -29,7 +29,7 @@
 	outcomeNoRoute     outcome = "no-route"
 	outcomeNoTarget    outcome = "no-target"       // not run
 	outcomeNoRoom      outcome = "no-room"         // not run, no capacity at targets or no memory for the body
-	outcomeTurnedAway  outcome = "turned-away"     // not run, the service is short of room for more urgent requests
+	outcomeTurnedAway  outcome = "turned-away"     // not run, the service is short of room for requests that are more urgent or need it for less time
 	outcomeLate        outcome = "late"            // not run, deadline reached before a target took it
 	outcomeSuspect     outcome = "suspected-crash" // not run, blocked because it crashed several targets
 	outcomeBroken      outcome = "broken"          // may have run, no valid response of a target
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -25,9 +25,9 @@
 	// lateWaitShare is how long a request waits for room if its objective cannot be
 	// met, as a share of the objective.
 	lateWaitShare = 0.3
-	// givingWayShare is the part of MaxWait for which a request waits whose route gives way in
-	// a shortage. The room that it hopes for is little, and others of its route come.
-	givingWayShare = 0.5
+	// limitedWaitShare is the part of MaxWait for which a request waits while some requests of
+	// its route are turned away. The room that it hopes for is little, and others of its route come.
+	limitedWaitShare = 0.5
 	// lastStartMargin is the time before the deadline until which a request may wait,
 	// as a multiple of its mean work. A later start would rarely end in time.
 	lastStartMargin = 1.5
@@ -130,7 +130,7 @@
 // and satisfy the requirement. It reports false when there is none.
 func (p *Placer) Choose(now time.Duration, r *Request, reports []Report, requirement Requirement) (Choice, bool) {
 	w := p.workOf(r.Route)
-	above := p.comesFirst(now, r) || p.random.Float64() < explorationShare
+	above := p.hasPrecedence(now, r) || p.random.Float64() < explorationShare
 	var best estimate
 	found := false
 	for _, report := range reports {
@@ -175,8 +175,8 @@
 
 // MaxWait returns how long after its arrival a request may wait for room before
 // it is refused: slackShare of the time in which it can still meet its objective, or
-// lateWaitShare of the objective if that cannot be met at all, and givingWayShare of that
-// if its route gives way in a shortage. It never waits for room that would come too late
+// lateWaitShare of the objective if that cannot be met at all, and limitedWaitShare of that
+// while some requests of its route are turned away. It never waits for room that would come too late
 // for its deadline.
 func (p *Placer) MaxWait(r *Request) time.Duration {
 	mean := p.workOf(r.Route).mean
@@ -185,8 +185,8 @@
 	if wait <= 0 {
 		wait = scale(r.objective(), lateWaitShare)
 	}
-	if r.givesWay {
-		wait = scale(wait, givingWayShare)
+	if r.routeLimited {
+		wait = scale(wait, limitedWaitShare)
 	}
 	return max(0, min(wait, useful, scale(r.Deadline-r.Arrived, maxWaitShare)))
 }
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -31,8 +31,8 @@
 	at time.Duration
 }
 
-// see adds what this instance saw of a service.
-func (d *demand) see(now time.Duration, service string, s shortage.Sums) {
+// record adds what this instance saw of a service.
+func (d *demand) record(now time.Duration, service string, s shortage.Sums) {
 	if d.seen == nil {
 		d.seen = make(map[string]shortage.Sums)
 	}
@@ -92,12 +92,12 @@
 func (p *Placer) Offer(now time.Duration, r *Request) (turnedAway bool) {
 	mean := p.workOf(r.Route).mean
 	waited := p.waitedBefore(r)
-	p.demand.see(now, r.Service, shortage.Request(shortage.KeyOf(r.Route.Name), r.Route.Rank, mean))
+	p.demand.record(now, r.Service, shortage.Request(shortage.KeyOf(r.Route.Name), r.Route.Rank, mean))
 	share := p.admittedShare(now, r)
 	if share >= 1 {
 		return false
 	}
-	r.givesWay = true
+	r.routeLimited = true
 	refused := 1 - share
 	if waited > 0 && waited+mean+callerRoundTrip <= r.objective() {
 		refused *= refused
@@ -111,7 +111,7 @@
 
 // FoundNoRoom records that a request is refused before it was sent to any target.
 func (p *Placer) FoundNoRoom(now time.Duration, r *Request) {
-	p.demand.see(now, r.Service, shortage.Sums{Refused: p.workOf(r.Route).mean.Seconds()})
+	p.demand.record(now, r.Service, shortage.Sums{Refused: p.workOf(r.Route).mean.Seconds()})
 }
 
 // TurnedAwayFor returns the time after which a caller should return whose request was turned
@@ -130,30 +130,30 @@
 // MayUseWholeRetryBudget reports whether a retry of the request may use all of the retry
 // budget of its service.
 func (p *Placer) MayUseWholeRetryBudget(now time.Duration, r *Request) bool {
-	return p.comesFirst(now, r)
+	return p.hasPrecedence(now, r)
 }
 
 // Started records that a request is sent to a target for the first time.
 func (p *Placer) Started(now time.Duration, r *Request) {
-	p.demand.see(now, r.Service, shortage.Sums{Started: p.workOf(r.Route).mean.Seconds()})
+	p.demand.record(now, r.Service, shortage.Sums{Started: p.workOf(r.Route).mean.Seconds()})
 }
 
 // RefusedAfterStart records that a request for which Started was called at startedAt is
 // refused, as targets rejected it.
 func (p *Placer) RefusedAfterStart(now, startedAt time.Duration, r *Request) {
-	p.demand.see(now, r.Service, shortage.RefusedAfterStart(p.workOf(r.Route).mean, now-startedAt))
+	p.demand.record(now, r.Service, shortage.RefusedAfterStart(p.workOf(r.Route).mean, now-startedAt))
 }
 
 // admittedShare returns the share of the requests of this route that are admitted now. It
-// is 1 unless the service is short of room and the route is not among those that come first.
+// is 1 unless the service is short of room and the route is one of those that are turned away in part.
 func (p *Placer) admittedShare(now time.Duration, r *Request) float64 {
 	return p.Cutoff(now, r.Service).Share(shortage.KeyOf(r.Route.Name))
 }
 
-// comesFirst reports whether the request may use the slots of targets above the saturation
+// hasPrecedence reports whether the request may use the slots of targets above the saturation
 // point and the whole retry budget of its service. While routes are turned away, the
 // admitted requests of theirs leave both to routes that come before them.
-func (p *Placer) comesFirst(now time.Duration, r *Request) bool {
+func (p *Placer) hasPrecedence(now time.Duration, r *Request) bool {
 	return r.Urgent() && p.admittedShare(now, r) >= 1
 }
 
@@ -166,6 +166,6 @@
 		saturation := p.curve(t.Service).saturation(max(1, r.Load.Slots))
 		room.Used = speed * min(1, float64(occupied)/float64(saturation))
 	}
-	p.demand.see(r.At, t.Service, room)
+	p.demand.record(r.At, t.Service, room)
 	p.demand.own.Add(r.At, t.Service, room)
 }
--- a/placement/request.go
+++ b/placement/request.go
@@ -18,9 +18,9 @@
 	Tried []catalog.Incarnation
 	// CallerTimeout is the time that the caller states to have left, 0 if it states none.
 	CallerTimeout time.Duration
-	// givesWay is set by Offer if its service is short of room and some requests of its
+	// routeLimited is set by Offer if its service is short of room and some requests of its
 	// route are turned away.
-	givesWay bool
+	routeLimited bool
 }
 
 // objective returns the route's objective or, if it has none, half of the time
--- a/shortage/sums.go
+++ b/shortage/sums.go
@@ -21,6 +21,19 @@
 	// minRequests is the sum of requests below which a route is removed: one request of an
 	// instance after ten half-lives.
 	minRequests = 1e-3
+	// maxSum bounds a sum in a message. An instance that handles 10,000 requests a second
+	// has sums of about 12,000.
+	maxSum = 2e4
+	// minRoom is the sum of the weights of load reports from which fullness is known. One
+	// report of a full target says nothing of the others.
+	minRoom = 1.5
+	// minOwnRoom is the sum of the weights of load reports from which one instance knows
+	// better than the fleet: the reports of about half a second. Fewer may have room by
+	// chance.
+	minOwnRoom = 8
+	// maxFullnessWithRoom is the fullness of the targets that one instance asks, by chance
+	// and by failure domain different from others, below which it surely finds room.
+	maxFullnessWithRoom = 0.6
 )
 
 // Sums are exponentially decaying sums over what instances saw of one service: sums of one
@@ -137,20 +150,8 @@
 	return s.Used / s.Room
 }
 
-// roomyFullness is the fullness of the targets that one instance asks, by chance and by
-// failure domain different from others, below which it surely finds room.
-const roomyFullness = 0.6
-
-// minOwnRoom is the sum of the weights of load reports from which one instance knows
-// better than the fleet: the reports of about half a second. Fewer may have room by chance.
-const minOwnRoom = 8
-
 // HasRoom reports whether the targets that reported to one instance clearly have room.
-func (s Sums) HasRoom() bool { return s.Room >= minOwnRoom && s.fullness() < roomyFullness }
-
-// minRoom is the sum of the weights of load reports from which fullness is known. One
-// report of a full target says nothing of the others.
-const minRoom = 1.5
+func (s Sums) HasRoom() bool { return s.Room >= minOwnRoom && s.fullness() < maxFullnessWithRoom }
 
 // SlotTime returns the expected slot time of all requests in seconds.
 func (s Sums) SlotTime() float64 {
@@ -176,7 +177,3 @@
 	}
 	return true
 }
-
-// maxSum bounds a sum in a message. An instance that handles 10,000 requests a second has
-// sums of about 12,000.
-const maxSum = 2e4
