placement, gateway, fleet: tests of decisions in a shortage

Places of waiting requests by rank, precedence and the whole retry budget while a route is turned away in part, and a peer that sends no figures.

--- a/fleet/demand_test.go
+++ b/fleet/demand_test.go
@@ -121,3 +121,23 @@
 	task.averageDemand(0, message)
 	is.Equal(strings.Count(logged.String(), "plausible again"), 1)
 }
+
+// Guards against a peer of an older build, which neither reads nor sends figures, and by
+// which those of this instance would be lost or halved.
+func TestPeerWithoutDemandChangesNothing(t *testing.T) {
+	is := is.New(t)
+	ignored := 0
+	task := New(Options{IP: netip.AddrFrom4([4]byte{127, 0, 0, 1}), Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return 0 },
+		OnImplausibleDemand: func(n int) { ignored += n }})
+	full := shortage.Request(1, 0, time.Second).Plus(shortage.Request(2, 1, time.Second))
+	full.Room, full.Used = 4, 4
+	task.demand.Add(0, "s", full)
+	old := &peerapi.FleetState{Self: memberMessage(Member{IP: netip.AddrFrom4([4]byte{127, 0, 0, 2}), Incarnation: 1})}
+	sent := task.startDemand(0, new(peerapi.FleetState))
+	is.Equal(len(sent), 1)
+	task.adoptDemand(0, sent, old)               // it answers
+	is.Equal(len(task.averageDemand(0, old)), 0) // it starts an exchange
+	task.adoptDemand(0, sent, nil)               // an empty answer
+	is.Equal(task.demand.Sums(0, "s"), full)
+	is.Equal(ignored, 0)
+}
--- a/gateway/scheduler_test.go
+++ b/gateway/scheduler_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/placement"
+	"github.com/dogwoodroute/dogwoodroute/shortage"
 )
 
 // Guards against a slot of a target that stays reserved because the request ended
@@ -42,3 +43,30 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against retries of a route that is turned away in part and spend the last of the
+// retry budget, which others need.
+func TestLastOfRetryBudgetInShortage(t *testing.T) {
+	is := is.New(t)
+	figure := shortage.Request(shortage.KeyOf("a"), 0, 100*time.Second).Plus(shortage.Request(shortage.KeyOf("b"), 1, 100*time.Second))
+	figure.Started, figure.Refused, figure.Room, figure.Used = 160, 40, 50, 50
+	retries := func(name string, rank int, short bool) (n int) {
+		s := newScheduler(Options{FailureDomain: "z", Instances: func() int { return 1 }, Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(1, 2)),
+			RetryBudget: RetryBudget{Ratio: 1, Window: time.Minute, NewFleet: true}, Now: func() time.Duration { return 0 }})
+		if short {
+			s.placer.SetDemand(0, []shortage.Entry{{Service: "s", Sums: figure}})
+		}
+		for range 100 {
+			s.retryShare("s").Request(0)
+		}
+		r := &placement.Request{Route: &catalog.Route{Name: name, Rank: rank, Objective: time.Second}, Service: "s", Deadline: time.Second}
+		for s.takeRetryBudget(0, r, retrying) {
+			n++
+		}
+		return n
+	}
+	whole := retries("b", 1, false)
+	is.Equal(retries("a", 0, true), whole)
+	part := float64(retries("b", 1, true)) / float64(whole)
+	is.True(part > ordinaryBudgetPart-0.03 && part < ordinaryBudgetPart+0.03)
+}
--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -96,3 +96,68 @@
 	}
 	is.Equal(counts[0], counts[1])
 }
+
+// rankOneShort returns a figure of the fleet by which a fifth of the demand finds no room,
+// of routes "a" of rank 0 and "b" of rank 1: b alone is turned away in part.
+func rankOneShort() []shortage.Entry {
+	s := shortage.Request(shortage.KeyOf("a"), 0, 1000*time.Second).Plus(shortage.Request(shortage.KeyOf("b"), 1, 1000*time.Second))
+	s.Started, s.Refused, s.Room, s.Used = 1600, 400, 10000, 10000
+	return []shortage.Entry{{Service: service, Sums: s}}
+}
+
+func requestOf(name string, rank int) *placement.Request {
+	r := newRequest(rank)
+	r.Route = &catalog.Route{Name: name, Objective: objective, Rank: rank}
+	return r
+}
+
+// Guards against less urgent requests that wait and take the places of urgent ones in a
+// shortage, and against an order among waiting requests without one.
+func TestPlacesOfWaitingRequestsGoByRankInShortage(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		figure []shortage.Entry
+		want   bool
+	}{{"room", nil, false}, {"shortage", shortFigure(), true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlacer(newTarget("a", "near"))
+			p.SetDemand(0, c.figure)
+			ordinary, urgent := requestOf("c", 2), requestOf("a", 0)
+			waiting := 0
+			for p.StartWaiting(0, ordinary) {
+				waiting++
+			}
+			is.Equal(p.StartWaiting(0, urgent), c.want)
+			is.True(!p.StartWaiting(0, ordinary)) // those of its own rank and before it count
+			for range waiting {
+				p.StopWaiting(ordinary)
+			}
+			is.True(p.StartWaiting(0, ordinary))
+		})
+	}
+}
+
+// Guards against admitted requests of a route that is turned away in part and use the slots
+// above the saturation point, or the last of the retry budget, before more urgent ones.
+func TestRouteTurnedAwayInPartHasNoPrecedence(t *testing.T) {
+	is := is.New(t)
+	a := newTarget("a", "near")
+	above := func(p *placement.Placer, r *placement.Request) (chosen int) {
+		for range 100 {
+			if _, ok := p.Choose(0, r, []placement.Report{report(a, 3, 0, 1)}, placement.RequireObjective); ok {
+				chosen++
+			}
+		}
+		return chosen
+	}
+	p := newPlacer(a)
+	is.True(p.MayUseWholeRetryBudget(0, requestOf("b", 1)))
+	is.Equal(above(p, requestOf("b", 1)), 100)
+	p = newPlacer(a)
+	p.SetDemand(0, rankOneShort())
+	is.True(p.MayUseWholeRetryBudget(0, requestOf("a", 0)))
+	is.Equal(above(p, requestOf("a", 0)), 100)
+	is.True(!p.MayUseWholeRetryBudget(0, requestOf("b", 1)))
+	is.True(above(p, requestOf("b", 1)) < 10) // a few explore
+}
