--- a/placement/demand.go
+++ b/placement/demand.go
@@ -145,7 +145,8 @@
 }
 
 // admittedShare returns the share of the requests of this route that are admitted now. It
-// is 1 unless the service is short of room and the route is one of those that are turned away in part.
+// is 1 unless the service is short of room and the route is one of those that are turned
+// away in part.
 func (p *Placer) admittedShare(now time.Duration, r *Request) float64 {
 	return p.Cutoff(now, r.Service).Share(shortage.KeyOf(r.Route.Name))
 }
