--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
@@ -13,12 +14,20 @@
 const maxServiceName = 256
 
 // ReportDemand adds what this instance saw of the demand for services and of their room to
-// the figures of the fleet. It never blocks.
-func (t *Task) ReportDemand(list []shortage.Entry) {
+// the figures of the fleet. take returns what it saw since the last call of take; it is not
+// called while the last figures wait for a task that is busy, so that at most one goroutine
+// waits and later figures are kept by their owner. ReportDemand never blocks.
+func (t *Task) ReportDemand(take func() []shortage.Entry) {
+	if !t.demandQueued.CompareAndSwap(false, true) {
+		return
+	}
+	list := take()
 	if len(list) == 0 {
+		t.demandQueued.Store(false)
 		return
 	}
 	go t.loop.Post(func(now time.Duration) {
+		t.demandQueued.Store(false)
 		for _, e := range list {
 			t.demand.Add(now, e.Service, e.Sums)
 		}
@@ -35,13 +44,23 @@
 	t.publishedDemand.Store(&list)
 }
 
-// putDemand adds the figures for a peer that has sent these to a state, and returns them.
-func (t *Task) putDemand(now time.Duration, s *peerapi.FleetState, received []shortage.Entry) []shortage.Entry {
-	list := t.demand.ToSend(now, received)
+// startDemand adds the figures with which to start an exchange to a state, and returns them.
+func (t *Task) startDemand(now time.Duration, s *peerapi.FleetState) []shortage.Entry {
+	list := t.demand.ToSend(now)
+	putDemand(s, list)
+	return list
+}
+
+// answerDemand adds the figures with which to answer a peer that has sent these to a state.
+// isNew tells that the peer was unknown or has restarted.
+func (t *Task) answerDemand(now time.Duration, s *peerapi.FleetState, received []shortage.Entry, isNew bool) {
+	putDemand(s, t.demand.Answer(now, received, isNew))
+}
+
+func putDemand(s *peerapi.FleetState, list []shortage.Entry) {
 	for _, e := range list {
 		s.Demand = append(s.Demand, demandMessage(e))
 	}
-	return list
 }
 
 // averageDemand merges the figures of a peer that has started an exchange, and returns them.
@@ -72,24 +91,48 @@
 }
 
 // demandFromMessage returns the figures in a state. It leaves out those that are not
-// plausible.
+// plausible, and all beyond shortage.MaxServices.
 func (t *Task) demandFromMessage(now time.Duration, s *peerapi.FleetState) []shortage.Entry {
 	if s.GetSelf() == nil {
 		return nil
 	}
-	var list []shortage.Entry
-	for _, m := range s.GetDemand() {
-		e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()), Refused: float64(m.GetRefused()),
-			Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
-		for _, r := range m.GetRoutes() {
-			e.Sums.Routes = append(e.Sums.Routes, shortage.RouteSums{Key: shortage.RouteKey(r.GetRoute()),
-				Rank: int(min(r.GetRank(), math.MaxInt32)), Requests: float64(r.GetRequests()), SlotTime: float64(r.GetSlotTime())})
+	received := s.GetDemand()
+	list := make([]shortage.Entry, 0, min(len(received), shortage.MaxServices))
+	for _, m := range received[:min(len(received), shortage.MaxServices)] {
+		if e := demandFromMessage(now, m); len(e.Service) <= maxServiceName && e.Sums.Valid() {
+			list = append(list, e)
 		}
-		if len(e.Service) > maxServiceName || !e.Sums.Valid() {
-			t.options.Log.Warn("implausible demand from peer, ignored", "peer", addressFromNumber(s.GetSelf().GetIp()).String())
-			continue
-		}
-		list = append(list, e)
+	}
+	if len(received) > 0 {
+		t.countImplausibleDemand(addressFromNumber(s.GetSelf().GetIp()), len(received)-len(list))
 	}
 	return list
 }
+
+func demandFromMessage(now time.Duration, m *peerapi.FleetDemand) shortage.Entry {
+	e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()), Refused: float64(m.GetRefused()),
+		Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
+	for _, r := range m.GetRoutes() {
+		e.Sums.Routes = append(e.Sums.Routes, shortage.RouteSums{Key: shortage.RouteKey(r.GetRoute()),
+			Rank: int(min(r.GetRank(), math.MaxInt32)), Requests: float64(r.GetRequests()), SlotTime: float64(r.GetSlotTime())})
+	}
+	return e
+}
+
+// countImplausibleDemand counts n implausible figures in a message of a peer, and logs if
+// the peer has begun to send some, or sends none any more.
+func (t *Task) countImplausibleDemand(from netip.Addr, n int) {
+	if n > 0 && t.options.OnImplausibleDemand != nil {
+		t.options.OnImplausibleDemand(n)
+	}
+	p := t.roster.peers[from]
+	if p == nil || p.implausibleDemand == (n > 0) {
+		return
+	}
+	p.implausibleDemand = n > 0
+	if n > 0 {
+		t.options.Log.Warn("implausible demand from peer, ignored", "peer", from.String(), "services", n)
+	} else {
+		t.options.Log.Info("demand from peer is plausible again", "peer", from.String())
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -109,8 +109,8 @@
 	if !admitted.hasTargets {
 		return newRefusal(outcomeNoTarget, defaultRetryAfter)
 	}
-	if admitted.turnedAwayFor > 0 {
-		return newRefusal(outcomeTurnedAway, admitted.turnedAwayFor)
+	if admitted.turnedAway {
+		return newRefusal(outcomeTurnedAway, admitted.retryAfter)
 	}
 	expected, ok := g.responseSizes.begin(route.Name, g.memory.responseFits)
 	if !ok {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/placement"
@@ -137,9 +139,10 @@
 type admission struct {
 	// hasTargets is false if no target of the service takes new requests.
 	hasTargets bool
-	// turnedAwayFor is the time after which the caller should return if the request is
-	// turned away, as its service is short of room; otherwise it is 0.
-	turnedAwayFor time.Duration
+	// turnedAway is true if the request is refused, as its service is short of room. The
+	// caller should return after retryAfter then.
+	turnedAway bool
+	retryAfter time.Duration
 }
 
 // admit picks a service of the request's route by weight, sets it in the request, counts
@@ -151,7 +154,8 @@
 		if !s.placer.HasTargets(r.Route, r.Service) {
 			return admission{}
 		}
-		return admission{hasTargets: true, turnedAwayFor: s.shortages.offer(now, r)}
+		retryAfter, turnedAway := s.shortages.offer(now, r)
+		return admission{hasTargets: true, turnedAway: turnedAway, retryAfter: retryAfter}
 	})
 }
 
@@ -331,15 +335,25 @@
 	return maxWait, retryAfter, err
 }
 
-// recordNoRoom records that a request is refused before it was sent to any target.
-func (s *scheduler) recordNoRoom(r *placement.Request) {
-	s.loop.Post(func(now time.Duration) { s.placer.FoundNoRoom(now, r) })
+// waitOrRefuse reports whether a request that found no room, and could start in time if it
+// waits for it, may wait. If so, stopWaiting must be called. Otherwise it records that the
+// request found no room, unless it was sent to a target before or its caller has left.
+func (s *scheduler) waitOrRefuse(ctx context.Context, r *placement.Request, inTime bool) (waits bool, err error) {
+	return owner.Call(ctx, s.loop, func(now time.Duration) bool {
+		if inTime && s.placer.StartWaiting(now, r) {
+			return true
+		}
+		if len(r.Tried) == 0 && !errors.Is(ctx.Err(), context.Canceled) {
+			s.placer.FoundNoRoom(now, r)
+		}
+		return false
+	})
 }
 
-// startWaiting reports whether a request that found no capacity may wait for it. If
-// so, stopWaiting must be called.
-func (s *scheduler) startWaiting(ctx context.Context, r *placement.Request) (bool, error) {
-	return owner.Call(ctx, s.loop, func(now time.Duration) bool { return s.placer.StartWaiting(now, r) })
+// recordRefusedAfterStart records that a request whose first send was at startedAt is
+// refused, as targets rejected it.
+func (s *scheduler) recordRefusedAfterStart(r placement.Request, startedAt time.Duration) {
+	s.loop.Post(func(now time.Duration) { s.placer.RefusedAfterStart(now, startedAt, &r) })
 }
 
 // stopWaiting records that a request no longer waits for capacity.
--- a/gateway/shortages.go
+++ b/gateway/shortages.go
@@ -20,7 +20,7 @@
 // the placer and the fleet, and logs what changes. The scheduler's goroutine owns it.
 type shortages struct {
 	placer   *placement.Placer
-	onDemand func([]shortage.Entry)
+	onDemand func(take func() []shortage.Entry)
 	demand   func() *[]shortage.Entry
 	known    *[]shortage.Entry // of the last call of demand
 	taken    time.Duration     // when onDemand was last called
@@ -39,17 +39,17 @@
 	return shortages{placer: placer, onDemand: o.OnDemand, demand: o.Demand, log: o.Log, metrics: o.Metrics, logged: make(map[string]*loggedShortage)}
 }
 
-// offer decides on a request that has arrived. It returns the time after which the caller
-// should return if the request is turned away, otherwise 0.
-func (s *shortages) offer(now time.Duration, r *placement.Request) (retryAfter time.Duration) {
+// offer decides on a request that has arrived. If it is turned away, retryAfter is the time
+// after which its caller should return.
+func (s *shortages) offer(now time.Duration, r *placement.Request) (retryAfter time.Duration, turnedAway bool) {
 	s.synchronize(now)
-	turnedAway := s.placer.Offer(now, r)
+	turnedAway = s.placer.Offer(now, r)
 	s.record(now, r.Service)
 	if !turnedAway {
-		return 0
+		return 0, false
 	}
 	s.metrics.TurnedAway(r.Route.Rank)
-	return s.placer.TurnedAwayFor(now, r)
+	return s.placer.TurnedAwayFor(now, r), true
 }
 
 // synchronize gives the fleet what this instance has seen, and the placer what the fleet
@@ -60,7 +60,7 @@
 	}
 	if now-s.taken >= demandInterval {
 		s.taken = now
-		s.onDemand(s.placer.TakeDemand(now))
+		s.onDemand(func() []shortage.Entry { return s.placer.TakeDemand(now) })
 	}
 	if known := s.demand(); known != s.known && known != nil {
 		s.known = known
@@ -94,10 +94,14 @@
 	last.at, last.cutoff = now, cutoff
 }
 
-// update records the services that were short of room and may have got no request since.
+// update records the services that were short of room and may have got no request since,
+// and removes those whose shortage is over.
 func (s *shortages) update(now time.Duration) {
 	s.synchronize(now)
-	for service := range s.logged {
+	for service, last := range s.logged {
 		s.record(now, service)
+		if last.cutoff.Level == 0 && now-last.at >= shortageLogInterval && s.placer.Cutoff(now, service).Level == 0 {
+			delete(s.logged, service)
+		}
 	}
 }
--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -8,14 +8,16 @@
 )
 
 const (
-	// maxServices bounds the services whose sums are kept and sent.
-	maxServices = 64
+	// MaxServices bounds the services whose sums are kept and sent.
+	MaxServices = 64
 	// forgetAfter is the time without news of a service after which its sums, which have
 	// faded to a thousandth, are removed.
 	forgetAfter = 10 * SumsHalfLife
 	// exchangedFullness is the fullness from which sums are sent to peers. Below it there
-	// is no shortage, and the bytes would be for nothing.
-	exchangedFullness = 0.7
+	// is no shortage. Near it instances with more room must take part, so that those with
+	// less come to the mean: with 0.7 three times as many requests were turned away at a
+	// mean fullness of 0.733.
+	exchangedFullness = 0.65
 )
 
 // Entry is the sums of one service as of a time.
@@ -30,9 +32,11 @@
 	entries map[string]Entry
 }
 
-// Add adds what this instance saw.
+// Add adds what this instance saw. No sum falls below zero.
 func (l *Ledger) Add(now time.Duration, service string, seen Sums) {
-	l.put(now, service, l.Sums(now, service).Plus(seen))
+	sum := l.Sums(now, service).Plus(seen)
+	sum.Started = max(0, sum.Started) // seen may hold the change of RefusedAfterStart
+	l.put(now, service, sum)
 }
 
 // Sums returns the sums of a service.
@@ -45,26 +49,41 @@
 	if l.entries == nil {
 		l.entries = make(map[string]Entry)
 	}
-	if _, ok := l.entries[service]; !ok && len(l.entries) >= maxServices {
+	e, ok := l.entries[service]
+	if !ok && len(l.entries) >= MaxServices {
 		maps.DeleteFunc(l.entries, func(_ string, e Entry) bool { return now-e.At >= forgetAfter })
-		if len(l.entries) >= maxServices {
+		if len(l.entries) >= MaxServices {
 			return
 		}
 	}
-	l.entries[service] = Entry{Service: service, Sums: s, At: now}
+	// An earlier time, as of a report that was taken before a message was handled, would
+	// let the sums fade twice.
+	l.entries[service] = Entry{Service: service, Sums: s, At: max(now, e.At)}
 }
 
-// ToSend returns the sums to send to a peer, as of now and sorted by service: those of
-// services that may be short of room, and those that the peer has sent.
-func (l *Ledger) ToSend(now time.Duration, received []Entry) []Entry {
+// ToSend returns the sums with which to start an exchange, as of now and sorted by service:
+// those of services that may be short of room.
+func (l *Ledger) ToSend(now time.Duration) []Entry { return l.answer(now, nil, true) }
+
+// Answer returns the sums with which to answer a peer that has sent these, after Average:
+// those of the same services. A peer that takes the mean of others, too, would raise the
+// sums of the fleet, as this instance does not, and with them the fullness of the fullest.
+// A peer that is new has no sums, so it gets those of ToSend as well.
+func (l *Ledger) Answer(now time.Duration, received []Entry, isNew bool) []Entry {
+	return l.answer(now, received, isNew)
+}
+
+// answer returns the sums of the services that a peer has named, and those that may be
+// short of room if withShort is set.
+func (l *Ledger) answer(now time.Duration, named []Entry, withShort bool) []Entry {
 	var list []Entry
 	for service, e := range l.entries {
 		if now-e.At >= forgetAfter {
 			delete(l.entries, service)
 			continue
 		}
-		asked := slices.ContainsFunc(received, func(r Entry) bool { return r.Service == service })
-		if s := l.Sums(now, service); asked || len(s.Routes) > 1 && s.fullness() >= exchangedFullness {
+		isNamed := slices.ContainsFunc(named, func(r Entry) bool { return r.Service == service })
+		if s := l.Sums(now, service); isNamed || withShort && len(s.Routes) > 1 && s.fullness() >= exchangedFullness {
 			list = append(list, Entry{Service: service, Sums: s, At: now})
 		}
 	}
@@ -73,7 +92,7 @@
 }
 
 // Average merges the sums of a peer that started an exchange: both take the mean. The
-// answer to the peer is ToSend after the call.
+// answer to the peer is Answer after the call.
 func (l *Ledger) Average(now time.Duration, received []Entry) {
 	for _, e := range received {
 		l.put(now, e.Service, l.Sums(now, e.Service).mean(e.Sums))
@@ -81,8 +100,8 @@
 }
 
 // Adopt merges the answer of a peer to an exchange that sent these sums: the mean that the
-// peer has taken, and what this instance saw since. A service that the peer has added is
-// averaged.
+// peer has taken, and what this instance saw since. A service that the peer has added, as
+// this instance is new to it, is averaged.
 func (l *Ledger) Adopt(now time.Duration, sent, answer []Entry) {
 	for _, e := range answer {
 		own := l.Sums(now, e.Service)
@@ -98,12 +117,12 @@
 // changed returns s - before + after, without sums below zero.
 func (s Sums) changed(before, after Sums) Sums {
 	sum := combine(combine(before, -1, after), 1, s)
-	sum.Started, sum.Refused, sum.Room, sum.Used = max(0, sum.Started), max(0, sum.Refused), max(0, sum.Room), max(0, sum.Used)
+	sum.Started, sum.Refused, sum.Room, sum.Used = max(0, sum.Started), max(0, sum.Refused), max(0, sum.Room), max(0, min(sum.Used, sum.Room))
 	for i := range sum.Routes {
 		r := &sum.Routes[i]
 		r.Requests, r.SlotTime = max(0, r.Requests), max(0, r.SlotTime)
 	}
-	return sum
+	return sum.withMaxRoutes()
 }
 
 // Entries returns all sums.
