transport: connections for waiters and announced idle timeouts

Cause: a connection that put hands to a waiting exchange kept its old idleSince, or none. If the target announces an idle timeout, get took it for expired and opened another one. Idle connections were closed after 8 s also if the target announces a longer timeout.

Change: put sets idleSince in each case. An idle connection is kept until a second before the announced timeout, at most twice Options.IdleTimeout.

Ruled out: a bound of three times the timeout. A connection may go silent without a reset, and each second of idle time makes that more likely.

Result: TestConnectionForAWaiterIsNotExpired fails without the change (two connections for two exchanges) and passes with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,8 +18,8 @@
 	// few milliseconds. After a lost first packet waiting does not help, since TCP
 	// retransmits it only after a second.
 	dialTimeout = 300 * time.Millisecond
-	// idleTimeout is the time after which an unused connection to a target is closed.
-	// A connection is not reused after a shorter idle time-out that the target states.
+	// idleTimeout is the time after which an unused connection to a target is closed if
+	// the target states no idle time-out.
 	idleTimeout = 8 * time.Second
 	// connectionShare is the part of a target's connection limit that all instances
 	// together may use. minConnections is the number that each may always use.
--- a/transport/client.go
+++ b/transport/client.go
@@ -32,7 +32,8 @@
 	// Values below 1 count as 1. It is called often and must not block. Default:
 	// DefaultConnectionLimit for every address.
 	ConnectionLimit func(address string) int
-	// IdleTimeout is the time after which an idle connection is closed. Default 30 s.
+	// IdleTimeout is the time after which an idle connection is closed if its target has
+	// announced no timeout of its own. Default 30 s.
 	IdleTimeout time.Duration
 	// DialTimeout limits the time to open a connection. Default 1 s.
 	DialTimeout time.Duration
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// maxIdleFactor bounds the idle timeouts that targets announce, as a multiple of
+// Options.IdleTimeout.
+const maxIdleFactor = 2
+
 // pool manages the connections to all addresses. Its mutex is not held during
 // calls that can block.
 type pool struct {
@@ -129,6 +133,7 @@
 // any, and is closed if the pool is closed or the limit was lowered.
 func (p *pool) put(c *conn) {
 	limit := p.limit(c.address)
+	c.idleSince = time.Now() // get checks it, also for a connection that a waiter receives
 	p.mu.Lock()
 	a := p.addresses[c.address]
 	switch {
@@ -144,10 +149,9 @@
 		p.mu.Unlock()
 		ready <- c
 	default:
-		c.idleSince = time.Now()
 		a.idle = append(a.idle, c)
 		if p.reaper == nil {
-			p.reaper = time.AfterFunc(p.options.IdleTimeout, p.reap)
+			p.reaper = time.AfterFunc(min(p.idleTimeout(c), p.options.IdleTimeout), p.reap)
 		}
 		p.mu.Unlock()
 	}
@@ -179,7 +183,17 @@
 	}
 }
 
-// reap closes connections that have been idle for IdleTimeout, and schedules its
+// idleTimeout returns how long a connection is kept idle: until shortly before the target
+// closes it, if the target has announced when that is, else for IdleTimeout. It is bounded,
+// since an idle connection may break without a sign.
+func (p *pool) idleTimeout(c *conn) time.Duration {
+	if c.idleLimit == 0 {
+		return p.options.IdleTimeout
+	}
+	return min(c.idleLimit, maxIdleFactor*p.options.IdleTimeout)
+}
+
+// reap closes connections that have been idle for their idle timeout, and schedules its
 // next run while idle connections remain.
 func (p *pool) reap() {
 	var expired []*conn
@@ -187,14 +201,15 @@
 	now := time.Now()
 	p.mu.Lock()
 	for _, a := range p.addresses {
-		keep := slices.IndexFunc(a.idle, func(c *conn) bool { return now.Sub(c.idleSince) < p.options.IdleTimeout })
-		if keep < 0 {
-			keep = len(a.idle)
-		} else if left := p.options.IdleTimeout - now.Sub(a.idle[keep].idleSince); next < 0 || left < next {
-			next = left
-		}
-		expired = append(expired, a.idle[:keep]...)
-		a.idle = slices.Delete(a.idle, 0, keep)
+		a.idle = slices.DeleteFunc(a.idle, func(c *conn) bool {
+			left := p.idleTimeout(c) - now.Sub(c.idleSince)
+			if left <= 0 {
+				expired = append(expired, c)
+			} else if next < 0 || left < next {
+				next = left
+			}
+			return left <= 0
+		})
 	}
 	p.reaper = nil
 	if next >= 0 && !p.closed {
--- a/transport/reuse_test.go
+++ b/transport/reuse_test.go
@@ -105,3 +105,33 @@
 		})
 	}
 }
+
+// Guards against a needless connection when one is handed to a waiting exchange: it has
+// never been idle, so the idle timeout that the target announces has not passed.
+func TestConnectionForAWaiterIsNotExpired(t *testing.T) {
+	is := is.New(t)
+	address := serveRaw(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := newClient(t, transport.Options{ConnectionLimit: func(string) int { return 1 }})
+	do := func() *http.Response {
+		response, err := client.Do(testContext(t), &transport.Attempt{Target: "t", Address: address, Method: http.MethodGet, URI: "/"})
+		is.NoErr(err)
+		return response
+	}
+	first := do()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = do().Body.Close()
+	}()
+	time.Sleep(20 * time.Millisecond) // the second exchange waits; if it does not yet, the test passes all the same
+	is.NoErr(first.Body.Close())
+	<-done
+	is.Equal(client.Counters().Opened, int64(1))
+}
