catalog: views apply changes to sorted lists in place of sorting all targets

Cause: each change of one target collected and sorted the targets of all services again, on every instance: O(n log n) in the number of targets.

Change: targetLists keeps the lists of the last view and merges the changed entries into a copy of the list of their service. Lists of other services are shared with the last view, so that later steps can skip them. An evacuation checks all entries.

Result: TestListsFollowTheEntries compares 500 steps of random changes with lists that are collected anew.

--- a/catalog/builder.go
+++ b/catalog/builder.go
@@ -1,7 +1,7 @@
 package catalog
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +28,7 @@
 	removed       removedTargets
 	refused       map[string]*refusedTarget
 	evacuations   map[string]*evacuation
+	targets       targetLists
 }
 
 // evacuation is the record that evacuates a failure domain.
@@ -55,7 +56,7 @@
 // NewBuilder returns an empty builder.
 func NewBuilder() *Builder {
 	return &Builder{entries: make(map[string]*targetEntry), refused: make(map[string]*refusedTarget),
-		evacuations: make(map[string]*evacuation)}
+		evacuations: make(map[string]*evacuation), targets: newTargetLists()}
 }
 
 // SetConfig replaces the configuration in force if c has a higher version, and
@@ -93,10 +94,13 @@
 	b.deleteEntry(key)
 	b.removed.forget(key)
 	b.entries[key] = &targetEntry{target: t}
+	b.targets.changed[key] = true
 }
 
 // SetEvacuated evacuates a failure domain until the record of key is removed.
-func (b *Builder) SetEvacuated(key, domain string) { b.evacuations[key] = &evacuation{domain: domain} }
+func (b *Builder) SetEvacuated(key, domain string) {
+	b.evacuations[key], b.targets.all = &evacuation{domain: domain}, true
+}
 
 // Remove deletes the entry of key. If it lapsed, it is kept for LapseGrace, unless
 // it is that of a draining target.
@@ -105,6 +109,7 @@
 		switch {
 		case !lapsed:
 			delete(b.evacuations, key)
+			b.targets.all = true
 		case e.removeAt == 0: // a restored store lacks it until the operators write it again
 			e.removeAt = now + LapseGrace
 		}
@@ -132,6 +137,7 @@
 	}
 	delete(b.entries, key)
 	delete(b.refused, key)
+	b.targets.changed[key] = true
 }
 
 func (b *Builder) endLapse(e *targetEntry) {
@@ -155,7 +161,7 @@
 	for key, e := range b.evacuations {
 		if e.removeAt > 0 && now >= e.removeAt {
 			delete(b.evacuations, key)
-			changed = true
+			changed, b.targets.all = true, true
 		}
 	}
 	for key, r := range b.refused {
@@ -173,18 +179,17 @@
 // Build returns a view of the current state. position is the position in the store's
 // history up to which the state is complete.
 func (b *Builder) Build(now time.Duration, position records.Position) *View {
-	v := &View{Config: b.config, Routes: b.matcher, Targets: make(map[string][]*Target), Position: position, BuiltAt: now}
+	v := &View{Config: b.config, Routes: b.matcher, Position: position, BuiltAt: now}
 	for _, e := range b.evacuations {
 		v.Evacuated = append(v.Evacuated, e.domain)
 	}
 	slices.Sort(v.Evacuated)
-	for _, e := range b.entries {
-		if !e.target.Draining && !slices.Contains(v.Evacuated, e.target.FailureDomain) {
-			v.Targets[e.target.Service] = append(v.Targets[e.target.Service], e.target)
+	v.Targets = b.targets.update(func(key string) *Target {
+		e := b.entries[key]
+		if e == nil || e.target.Draining || slices.Contains(v.Evacuated, e.target.FailureDomain) {
+			return nil
 		}
-	}
-	for _, list := range v.Targets {
-		slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
-	}
+		return e.target
+	}, maps.Keys(b.entries))
 	return v
 }
