placement: large responses stay in their failure domain, measured crossings

Cause: a target in another domain was preferred if it was expected to be 4 ms faster, whatever the size of the response, also by requests with seconds to spare. The 4 ms are too little where domains are far apart.

Change: the extra round trip to each domain is learned from probes. The mean size of a route's responses is learned, and a target in another domain must be faster by a part of the spare time of the request, which grows with that size (half of it at 16 KiB). A target that misses the objective is no alternative, so a far one that meets it wins. Other domains are not probed if no target there could be preferred.

Ruled out: waiting for room in the own domain before a large response crosses.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -150,7 +150,7 @@
 	r := placement.Outcome{Latency: e.endedAt - res.sentAt}
 	switch e.outcome {
 	case attemptServed:
-		r.Responded = true
+		r.Responded, r.ResponseBytes = true, e.response.body.Len()
 	case attemptError, attemptUnsigned:
 		r.Failed = true
 	case attemptRejected:
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -145,6 +145,7 @@
 		}
 		if answer.report.Target != nil {
 			s.placer.Reported(answer.report)
+			s.placer.ProbeTook(answer.report.Target.FailureDomain, answer.report.At-answer.sentAt)
 		}
 	})
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -76,7 +76,7 @@
 	mean := p.workOf(r.Route).mean
 	for _, report := range reports {
 		if t := p.targets[report.Target.Incarnation()]; t != nil && t.available(now, p.share) {
-			if e := p.estimate(now, report, t, mean); e.isGood(now) {
+			if e := p.estimate(now, report, t, mean); e.isGood(now) || p.beatsOtherDomains(now, r, &e) {
 				return true
 			}
 		}
@@ -136,6 +136,9 @@
 			continue // removed since the report, or it wants no request
 		}
 		e := p.estimate(now, report, t, w.mean)
+		if t.FailureDomain != p.domain {
+			e.nearPreference = w.nearPreference(r.spare(now, e.duration))
+		}
 		if e.satisfies(now, r, requirement, above) && (!found || e.cost(now) < best.cost(now)) {
 			best, found = e, true
 		}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -9,9 +9,6 @@
 	// warmupSlowdown is the slowdown assumed while a target warms up. It is below
 	// the usual 2, so that a new target gets its share of the requests soon.
 	warmupSlowdown = 1.4
-	// remotePenalty is added to the estimate of a target in another failure domain,
-	// for the network round trip and the traffic between failure domains.
-	remotePenalty = 4 * time.Millisecond
 )
 
 // estimate is the expected time of a request on a target, and what it is based on.
@@ -30,6 +27,8 @@
 	// this one. The target's throughput is highest with saturation of them, and it
 	// runs at most slots at a time.
 	occupied, saturation, slots int
+	// nearPreference is added to the cost of a target in another failure domain.
+	nearPreference time.Duration
 }
 
 func (p *Placer) estimate(now time.Duration, r Report, t *target, mean time.Duration) estimate {
@@ -46,9 +45,7 @@
 		e.slowdown *= 1 + float64(waiting)/float64(e.slots)
 	}
 	e.duration = scale(mean, e.slowdown)
-	if t.FailureDomain != p.domain {
-		e.duration += remotePenalty
-	}
+	e.duration += p.roundTrips.crossing(p.domain, t.FailureDomain)
 	return e
 }
 
@@ -58,7 +55,8 @@
 }
 
 // cost returns the value by which targets are compared: the expected time,
-// increased for the risk that the target fails.
+// increased for the risk that the target fails and for a response that crosses to another
+// failure domain.
 func (e *estimate) cost(now time.Duration) time.Duration {
-	return scale(e.duration, 1+failurePenalty*e.target.risk(now))
+	return scale(e.duration, 1+failurePenalty*e.target.risk(now)) + e.nearPreference
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -19,16 +19,19 @@
 	instances int // of the fleet
 	random    *rand.Rand
 	// seed gives this instance its own order of targets.
-	seed      uint64
-	targets   map[catalog.Incarnation]*target
-	absent    absentTargets
-	services  map[string][]*target
-	routeWork map[string]*routeWork      // by route name
-	curves    map[string]*occupancyCurve // by service, learned
-	loads     map[string]*serviceLoad    // by service, observed
-	queues    map[string]*waitQueue      // by service
-	probes    probeBudget
-	share     ShareFunc
+	seed     uint64
+	targets  map[catalog.Incarnation]*target
+	absent   absentTargets
+	services map[string][]*target
+	// hasLocal tells for each service whether it has targets in the instance's domain.
+	hasLocal   map[string]bool
+	routeWork  map[string]*routeWork      // by route name
+	curves     map[string]*occupancyCurve // by service, learned
+	loads      map[string]*serviceLoad    // by service, observed
+	queues     map[string]*waitQueue      // by service
+	probes     probeBudget
+	roundTrips roundTrips // of probes
+	share      ShareFunc
 }
 
 // New returns a placer without targets for an instance in the failure domain.
@@ -36,7 +39,7 @@
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
-		queues: make(map[string]*waitQueue), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
+		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
 }
 
 // SetShares sets the function that divides limited targets among the instances. Before
@@ -167,6 +170,8 @@
 	Rejected bool
 	// Latency is the time from the send to the end of the request.
 	Latency time.Duration
+	// ResponseBytes is the size of the response's body if Responded is true.
+	ResponseBytes int64
 }
 
 // Ended records the end of a request that was sent to a target at the time sent,
@@ -193,6 +198,7 @@
 	case outcome.Responded:
 		t.recordOutcome(now, false)
 		w := p.workOf(route)
+		w.observeSize(outcome.ResponseBytes)
 		if w.known() && choice.Age <= maxFreshAge {
 			p.curve(t.Service).observe(choice.occupiedShare, float64(outcome.Latency)/float64(scale(w.mean, choice.machineSlowdown)))
 		}
--- a/placement/work.go
+++ b/placement/work.go
@@ -28,6 +28,8 @@
 	deviation time.Duration
 	// observations counts the calls of observe, up to minObservations.
 	observations int
+	// size is the mean size of the bodies of responses in bytes, 0 before the first.
+	size float64
 }
 
 // observe adds the latency of an answered request; slowdown is the one that was
