placement: subsets follow the traffic, targets in use are probed last

Cause, from the addresses of opened connections of 22 instances: targets of subsets that the instance's traffic reaches less than once in the idle timeout, above all in other failure domains (5,678 of 8,459 probes there open one), and second connections to targets that run a request or a probe of the same instance.

Change: the size of a subset follows the probes of the instance, so that each target is probed about every four seconds, between four targets and the former size. In other domains the upper bound is half of it while the own domain has targets. An instance that starts uses the full size. Targets with a request or a probe in progress are probed after the others.

Ruled out: the order by the number of requests in progress in place of whether there are any.

--- a/placement/placer.go
+++ b/placement/placer.go
@@ -24,14 +24,15 @@
 	absent   absentTargets
 	services map[string][]*target
 	// hasLocal tells for each service whether it has targets in the instance's domain.
-	hasLocal   map[string]bool
-	routeWork  map[string]*routeWork      // by route name
-	curves     map[string]*occupancyCurve // by service, learned
-	loads      map[string]*serviceLoad    // by service, observed
-	queues     map[string]*waitQueue      // by service
-	probes     probeBudget
-	roundTrips roundTrips // of probes
-	share      ShareFunc
+	hasLocal    map[string]bool
+	routeWork   map[string]*routeWork      // by route name
+	curves      map[string]*occupancyCurve // by service, learned
+	loads       map[string]*serviceLoad    // by service, observed
+	queues      map[string]*waitQueue      // by service
+	probes      probeBudget
+	roundTrips  roundTrips // of probes
+	probeCounts map[subsetKey]*probeCount
+	share       ShareFunc
 }
 
 // New returns a placer without targets for an instance in the failure domain.
@@ -39,7 +40,7 @@
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
-		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
+		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), probeCounts: make(map[subsetKey]*probeCount), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
 }
 
 // SetShares sets the function that divides limited targets among the instances. Before
@@ -50,7 +51,7 @@
 // incarnations that are in the list, or were in it before, is kept.
 func (p *Placer) SetTargets(now time.Duration, services map[string][]*catalog.Target) {
 	targets := make(map[catalog.Incarnation]*target)
-	p.services = make(map[string][]*target, len(services))
+	p.services, p.hasLocal = make(map[string][]*target, len(services)), make(map[string]bool, len(services))
 	for name, list := range services {
 		for _, registered := range list {
 			t := p.targets[registered.Incarnation()]
@@ -63,6 +64,9 @@
 			t.Target = registered
 			targets[registered.Incarnation()] = t
 			p.services[name] = append(p.services[name], t)
+			if t.FailureDomain == p.domain {
+				p.hasLocal[name] = true
+			}
 		}
 		slices.SortFunc(p.services[name], func(a, b *target) int { return cmp.Compare(p.order(a), p.order(b)) })
 	}
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,13 +14,6 @@
 	// locally, since a local choice causes no traffic between failure domains.
 	localSample  = 4
 	remoteSample = 3
-	// minSubset is the least number of responsive targets of a service among which an
-	// instance chooses, for local and for remote targets each. It leaves enough choice,
-	// and is small since connections that are rarely used are closed as idle.
-	minSubset = 8
-	// subsetsPerTarget is the mean number of instances that have a target in their
-	// subset. With less the load of targets would be uneven, and some would get none.
-	subsetsPerTarget = 8
 	// maxSharedAge is the age up to which the report of a target serves other requests
 	// than the one that it was probed for. The speed of a target changes within some
 	// ten milliseconds.
@@ -39,20 +33,25 @@
 	}
 	var fresh []Report
 	var unknown []*target
-	for _, t := range p.eligible(now, r, func(t *target) bool { return (t.FailureDomain != p.domain) == remote }) {
+	matches := func(t *target) bool { return (t.FailureDomain != p.domain) == remote }
+	key := subsetKey{r.Service, remote}
+	for _, t := range p.eligible(now, r, p.subsetSize(now, key), matches) {
 		if last := t.lastReport; last.Target != nil && now-last.At <= maxSharedAge {
 			fresh = append(fresh, last)
 		} else {
 			unknown = append(unknown, t)
 		}
 	}
+	slices.SortStableFunc(unknown, func(a, b *target) int { return cmp.Compare(a.exchanges(now), b.exchanges(now)) })
 	reserve := 0.0
 	if waiting {
 		reserve = waitingReserve
 	}
 	n = p.probes.take(now, max(0, min(n-len(fresh), len(unknown))), reserve)
+	p.probed(now, key).add(now, n)
 	sample := make([]*catalog.Target, 0, n)
 	for _, t := range unknown[:n] {
+		t.probeSent = now
 		sample = append(sample, t.Target)
 	}
 	return sample, fresh
@@ -62,7 +61,7 @@
 // choice without probes.
 func (p *Placer) PredictedReports(now time.Duration, r *Request) []Report {
 	mean := p.workOf(r.Route).mean
-	list := p.eligible(now, r, func(*target) bool { return true })
+	list := p.eligible(now, r, p.fullSubset(subsetKey{service: r.Service}), func(*target) bool { return true })
 	reports := make([]Report, 0, len(list))
 	for _, t := range list {
 		reports = append(reports, p.predict(now, t, mean))
@@ -71,12 +70,11 @@
 }
 
 // eligible returns, in random order, targets of the service that match and that
-// the request was not sent to yet. They are the first ones in this instance's own
+// the request was not sent to yet, at most size. They are the first ones in this instance's own
 // order of targets, so that the subset stays stable. Suspended targets are
 // returned only when there are no others. Those that want no request now are left out,
 // unless a probe is due that tells whether they still do not.
-func (p *Placer) eligible(now time.Duration, r *Request, match func(*target) bool) []*target {
-	size := p.subsetSize(r.Service)
+func (p *Placer) eligible(now time.Duration, r *Request, size int, match func(*target) bool) []*target {
 	responsive := make([]*target, 0, size)
 	var suspended []*target
 	for _, t := range p.services[r.Service] {
@@ -99,14 +97,6 @@
 	return responsive
 }
 
-// subsetSize returns the number of targets of a service among which this instance
-// chooses.
-func (p *Placer) subsetSize(service string) int {
-	targets := len(p.services[service])
-	perInstance := (subsetsPerTarget*targets + p.instances - 1) / p.instances
-	return min(targets, max(minSubset, perInstance))
-}
-
 // Reported caches a load report of a target, unless a later one is known.
 func (p *Placer) Reported(r Report) {
 	if t := p.targets[r.Target.Incarnation()]; t != nil && r.At >= t.lastReport.At {
--- a/placement/target.go
+++ b/placement/target.go
@@ -33,6 +33,8 @@
 type target struct {
 	*catalog.Target
 	lastReport Report
+	// probeSent is when the last probe was sent.
+	probeSent time.Duration
 	// warmUntil is when its warm-up ends.
 	warmUntil time.Duration
 	// sendTimes holds the send times of the requests in flight.
@@ -54,6 +56,21 @@
 	pausedUntil time.Duration
 }
 
+// maxProbeTime is the time after which a probe without an answer has ended.
+const maxProbeTime = 50 * time.Millisecond
+
+// exchanges returns 0 if this instance has no request and no probe in progress at the
+// target, so that its connection is free, else 1. The target is then probed only if others
+// do not suffice: a probe would need one more connection, and a request in progress takes
+// room.
+func (t *target) exchanges(now time.Duration) int {
+	probed := t.probeSent > t.lastReport.At && now-t.probeSent < maxProbeTime
+	if len(t.sendTimes) > 0 || probed {
+		return 1
+	}
+	return 0
+}
+
 // sentSince returns the number of requests in flight that were sent after a time.
 func (t *target) sentSince(at time.Duration) int {
 	n := 0
