placement: a changed target costs no hashing and sorting of all targets

Cause: each new view built the state of all targets anew and sorted the targets of each service by hashes that were computed in every comparison. Instances do this for each change of a target, though they use few of them.

Change: SetTargets compares the lists with the last ones, skips services whose list is the same slice, and merges the changed targets into the sorted list. The hash of a target is computed once. The gateway stores a connection limit only if it differs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,10 @@
 				limit = view.Config.Services[t.Service].MaxConnections
 			}
 			share := int(connectionShare * float64(limit) / float64(max(1, g.options.Instances())))
-			g.connectionLimits.Store(t.Address, max(minConnections, share))
+			share = max(minConnections, share)
+			if known, ok := g.connectionLimits.Load(t.Address); !ok || known.(int) != share {
+				g.connectionLimits.Store(t.Address, share)
+			}
 		}
 	}
 	g.scheduler.setTargets(view.Targets)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -1,10 +1,8 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,10 +17,12 @@
 	instances int // of the fleet
 	random    *rand.Rand
 	// seed gives this instance its own order of targets.
-	seed     uint64
-	targets  map[catalog.Incarnation]*target
-	absent   absentTargets
-	services map[string][]*target
+	seed       uint64
+	targets    map[catalog.Incarnation]*target
+	absent     absentTargets
+	services   map[string][]*target
+	lists      map[string][]*catalog.Target // argument of the last SetTargets
+	generation uint64                       // number of calls of SetTargets
 	// hasLocal tells for each service whether it has targets in the instance's domain.
 	hasLocal    map[string]bool
 	routeWork   map[string]*routeWork      // by route name
@@ -38,7 +38,7 @@
 // New returns a placer without targets for an instance in the failure domain.
 func New(domain string, random *rand.Rand) *Placer {
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
-		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
+		services: make(map[string][]*target), hasLocal: make(map[string]bool), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
 		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), probeCounts: make(map[subsetKey]*probeCount), share: func(*catalog.Target, int) (bool, int) { return true, 1 }}
 }
@@ -47,38 +47,6 @@
 // the call this instance takes the whole limit.
 func (p *Placer) SetShares(share ShareFunc) { p.share = share }
 
-// SetTargets replaces the targets that accept new requests, by service. The state of
-// incarnations that are in the list, or were in it before, is kept.
-func (p *Placer) SetTargets(now time.Duration, services map[string][]*catalog.Target) {
-	targets := make(map[catalog.Incarnation]*target)
-	p.services, p.hasLocal = make(map[string][]*target, len(services)), make(map[string]bool, len(services))
-	for name, list := range services {
-		for _, registered := range list {
-			t := p.targets[registered.Incarnation()]
-			if t == nil {
-				t = p.absent.take(registered.Incarnation())
-			}
-			if t == nil {
-				t = &target{warmUntil: now + registered.WarmupLeft}
-			}
-			t.Target = registered
-			targets[registered.Incarnation()] = t
-			p.services[name] = append(p.services[name], t)
-			if t.FailureDomain == p.domain {
-				p.hasLocal[name] = true
-			}
-		}
-		slices.SortFunc(p.services[name], func(a, b *target) int { return cmp.Compare(p.order(a), p.order(b)) })
-	}
-	for id, t := range p.targets {
-		if targets[id] == nil {
-			p.absent.add(now, t)
-		}
-	}
-	p.absent.expire(now)
-	p.targets = targets
-}
-
 // target returns the state of a target, also if its entry is away, or nil if it is unknown.
 func (p *Placer) target(id catalog.Incarnation) *target {
 	if t := p.targets[id]; t != nil {
@@ -89,9 +57,9 @@
 
 // order returns the sort key of a target. It is a hash seeded per instance, so
 // that each instance orders the targets differently.
-func (p *Placer) order(t *target) uint64 {
+func (p *Placer) order(id string) uint64 {
 	h := xxhash.NewWithSeed(p.seed)
-	_, _ = h.WriteString(t.ID) // a hash never fails
+	_, _ = h.WriteString(id) // a hash never fails
 	return h.Sum64()
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -32,6 +32,8 @@
 // target is the state that the placer keeps of one incarnation of a target.
 type target struct {
 	*catalog.Target
+	order      uint64 // see Placer.order
+	goneIn     uint64 // value of Placer.generation when it was last removed from a list
 	lastReport Report
 	// probeSent is when the last probe was sent.
 	probeSent time.Duration
