fleet: instances without records are referred to their own failure domain

Cause: an instance that starts asks all seeds at once, and each sends it all records, also from another failure domain. After a loss of many instances a few seeds send the list to all that start.

Change: with 64 records or more, an instance refers one without records to ready instances of the asker's domain, once for each incarnation: always if the asker is in another domain, else after four full lists in a second. The asker then requests the records from one of them.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -309,7 +309,7 @@
 	}
 	after := t.changesAfterFromMessage(s)
 	if !s.GetHasChanges() || !s.GetFull() && (after.Era != before.Era || after.Compare(before) > 0) {
-		t.contact(now, sender, broadcast{}) // its answer contains the missing records
+		t.requestRecords(now, sender) // the answer contains the missing records
 		return
 	}
 	list, err := recordsFromMessage(s)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -208,6 +208,32 @@
 	}
 }
 
+// Guards against instances that never get the records, or late, since the others refer them:
+// one that starts among others, and half of the fleet.
+func TestReferredInstancesGetAllRecords(t *testing.T) {
+	const targets = 200
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	for n := range targets {
+		c.store.change(records.Record{Key: fmt.Sprint("t", n), Value: []byte("d0")})
+	}
+	c.startAll(5)
+	complete := func(i *instance) bool { return version(1)(i) && len(i.View().Targets["s"]) == targets }
+	c.await("all targets", complete)
+	c.await("10 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 10 })
+	for _, count := range []int{1, 3} {
+		for n := range count {
+			c.stop(address(0, 2+n))
+			c.stop(address(1, 2+n))
+		}
+		for n := range count {
+			c.start(0, 2+n)
+			c.start(1, 2+n)
+		}
+		c.await("all targets after a restart", complete)
+	}
+}
+
 // Guards against a fleet that does not recover when all instances stop at once and are
 // started again, and against instances that keep outdated state.
 func TestAllInstancesRestart(t *testing.T) {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -24,8 +24,11 @@
 		isNew := s.task.merge(now, state)
 		sender := addressFromNumber(state.GetSelf().GetIp())
 		s.task.requestConfig(now, state, sender)
-		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), true)
-		answer.Config = s.task.configFor(state, answer)
+		refers := s.task.refersToOthers(now, state)
+		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), !refers)
+		if !refers { // it gets the configuration with the records
+			answer.Config = s.task.configFor(state, answer)
+		}
 		if isNew {
 			answer.Members = answer.Members[:0]
 			for _, m := range s.task.roster.initialMembers() {
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -73,7 +73,8 @@
 	broadcastScheduled bool                      // broadcastNow will run within broadcastDelay
 	broadcastScope     scope                     // scope of the scheduled broadcast
 	failureReports     failureReports            // reports of requests that may crash targets
-	queuedReports      atomic.Int64              // calls of ReportFailure whose report is not yet in failureReports
+	fullLists          fullLists
+	queuedReports      atomic.Int64 // calls of ReportFailure whose report is not yet in failureReports
 }
 
 // New returns a task that does nothing until Run is called.
--- a/records/set.go
+++ b/records/set.go
@@ -27,6 +27,9 @@
 // Position returns the position in the store's history up to which the set is complete.
 func (s *Set) Position() Position { return s.position }
 
+// Len returns the number of records.
+func (s *Set) Len() int { return len(s.items) }
+
 // Empty reports whether the set never had any content.
 func (s *Set) Empty() bool { return s.position.Revision == 0 }
 
