--- a/placement/sample.go
+++ b/placement/sample.go
@@ -27,6 +27,9 @@
 // used up. A request that waits for room leaves a part of the budget to requests
 // that have just arrived.
 func (p *Placer) Sample(now time.Duration, r *Request, remote, waiting bool) ([]*catalog.Target, []Report) {
+	if !remote && !p.hasLocal[r.Service] {
+		return nil, nil
+	}
 	n := localSample
 	if remote {
 		n = remoteSample
