fleet: an instance that starts does not broadcast records that the fleet has

Cause: broadcastPosition of an instance that got its records from a peer was zero. Its first broadcast then contained all records, also to peers that have them.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -326,6 +326,9 @@
 	if len(changed) == 0 && position.Era == before.Era {
 		return
 	}
+	if before.Revision == 0 && len(t.sources(now, t.options.Domain, t.options.IP)) >= minSources {
+		t.broadcastPosition = position // the fleet has these records: a broadcast of later ones need not contain them
+	}
 	t.logEra(before, changed)
 	t.apply(now, changed)
 	if len(s.GetRelay()) == 0 && t.isRemote(sender) {
