--- a/fleet/service.go
+++ b/fleet/service.go
@@ -25,8 +25,11 @@
 		received := s.task.averageDemand(now, state)
 		sender := addressFromNumber(state.GetSelf().GetIp())
 		s.task.requestConfig(now, state, sender)
-		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), true)
-		answer.Config = s.task.configFor(state, answer)
+		refers := s.task.refersToOthers(now, state)
+		answer := s.task.stateFor(now, sender, s.task.positionFromMessage(state), !refers)
+		if !refers { // it gets the configuration with the records
+			answer.Config = s.task.configFor(state, answer)
+		}
 		s.task.answerDemand(now, answer, received, isNew)
 		if isNew {
 			answer.Members = answer.Members[:0]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,8 +19,8 @@
 	// few milliseconds. After a lost first packet waiting does not help, since TCP
 	// retransmits it only after a second.
 	dialTimeout = 300 * time.Millisecond
-	// idleTimeout is the time after which an unused connection to a target is closed.
-	// A connection is not reused after a shorter idle time-out that the target states.
+	// idleTimeout is the time after which an unused connection to a target is closed if
+	// the target states no idle time-out.
 	idleTimeout = 8 * time.Second
 	// connectionShare is the part of a target's connection limit that all instances
 	// together may use. minConnections is the number that each may always use.
@@ -82,7 +82,10 @@
 				limit = view.Config.Services[t.Service].MaxConnections
 			}
 			share := int(connectionShare * float64(limit) / float64(max(1, g.options.Instances())))
-			g.connectionLimits.Store(t.Address, max(minConnections, share))
+			share = max(minConnections, share)
+			if known, ok := g.connectionLimits.Load(t.Address); !ok || known.(int) != share {
+				g.connectionLimits.Store(t.Address, share)
+			}
 		}
 	}
 	if view.Config != nil {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,19 +18,25 @@
 	instances int // of the fleet
 	random    *rand.Rand
 	// seed gives this instance its own order of targets.
-	seed      uint64
-	targets   map[catalog.Incarnation]*target
-	absent    absentTargets
-	services  map[string][]*target
-	routeWork map[string]*routeWork      // by route name
-	curves    map[string]*occupancyCurve // by service, learned
-	loads     map[string]*serviceLoad    // by service, observed
-	queues    map[string]*waitQueue      // by service
-	probes    probeBudget
-	share     ShareFunc
-	demand    demand
-	// settled reports whether this instance may use its shares of cold targets.
+	seed       uint64
+	targets    map[catalog.Incarnation]*target
+	absent     absentTargets
+	services   map[string][]*target
+	lists      map[string][]*catalog.Target // argument of the last SetTargets
+	generation uint64                       // number of calls of SetTargets
+	// hasLocal tells for each service whether it has targets in the instance's domain.
+	hasLocal    map[string]bool
+	routeWork   map[string]*routeWork      // by route name
+	curves      map[string]*occupancyCurve // by service, learned
+	loads       map[string]*serviceLoad    // by service, observed
+	queues      map[string]*waitQueue      // by service
+	probes      probeBudget
+	roundTrips  roundTrips // of probes
+	probeCounts map[subsetKey]*probeCount
+	share       ShareFunc
+	demand      demand
 	regions     map[string]string // by failure domain
+	// settled reports whether this instance may use its shares of cold targets.
 	settled     func(now time.Duration) bool
 	warmupTerms map[string]shareTerms    // by service, of those that limit the requests of cold targets
 	owned       map[string]*ownedTargets // by service
@@ -40,9 +45,10 @@
 // New returns a placer without targets for an instance in the failure domain.
 func New(domain string, random *rand.Rand) *Placer {
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
-		services: make(map[string][]*target), routeWork: make(map[string]*routeWork),
+		services: make(map[string][]*target), hasLocal: make(map[string]bool), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
-		queues: make(map[string]*waitQueue), share: func(*catalog.Target, int) (bool, int) { return true, 1 },
+		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), probeCounts: make(map[subsetKey]*probeCount),
+		share:   func(*catalog.Target, int) (bool, int) { return true, 1 },
 		settled: func(time.Duration) bool { return true }, owned: make(map[string]*ownedTargets)}
 }
 
@@ -50,39 +56,6 @@
 // the call this instance takes the whole limit.
 func (p *Placer) SetShares(share ShareFunc) { p.share = share }
 
-// SetTargets replaces the targets that accept new requests, by service. The state of
-// incarnations that are in the list, or were in it before, is kept.
-func (p *Placer) SetTargets(now time.Duration, services map[string][]*catalog.Target) {
-	targets := make(map[catalog.Incarnation]*target)
-	p.services = make(map[string][]*target, len(services))
-	for name, list := range services {
-		for _, registered := range list {
-			t := p.targets[registered.Incarnation()]
-			if t == nil {
-				if t = p.absent.take(registered.Incarnation()); t != nil {
-					t.warmup.mayHaveBecomeCold(now)
-				}
-			}
-			if t == nil {
-				t = &target{warmUntil: now + registered.WarmupLeft}
-			}
-			t.Target, t.warmup.terms = registered, p.warmupTerms[name]
-			targets[registered.Incarnation()] = t
-			p.services[name] = append(p.services[name], t)
-		}
-		slices.SortFunc(p.services[name], func(a, b *target) int { return cmp.Compare(p.order(a), p.order(b)) })
-	}
-	for id, t := range p.targets {
-		if targets[id] == nil {
-			p.absent.add(now, t)
-		}
-	}
-	p.absent.expire(now)
-	p.targets = targets
-	clear(p.owned)
-	p.demand.keepServices(p.services)
-}
-
 // target returns the state of a target, also if its entry is away, or nil if it is unknown.
 func (p *Placer) target(id catalog.Incarnation) *target {
 	if t := p.targets[id]; t != nil {
@@ -93,9 +66,9 @@
 
 // order returns the sort key of a target. It is a hash seeded per instance, so
 // that each instance orders the targets differently.
-func (p *Placer) order(t *target) uint64 {
+func (p *Placer) order(id string) uint64 {
 	h := xxhash.NewWithSeed(p.seed)
-	_, _ = h.WriteString(t.ID) // a hash never fails
+	_, _ = h.WriteString(id) // a hash never fails
 	return h.Sum64()
 }
 
@@ -189,6 +162,8 @@
 	Rejected bool
 	// Latency is the time from the send to the end of the request.
 	Latency time.Duration
+	// ResponseBytes is the size of the response's body if Responded is true.
+	ResponseBytes int64
 }
 
 // Ended records the end of a request that was sent to a target at the time sent,
@@ -215,6 +190,7 @@
 	case outcome.Responded:
 		t.recordOutcome(now, false)
 		w := p.workOf(route)
+		w.observeSize(outcome.ResponseBytes)
 		if w.known() && choice.Age <= maxFreshAge {
 			p.curve(t.Service).observe(choice.occupiedShare, float64(outcome.Latency)/float64(scale(w.mean, choice.machineSlowdown)))
 		}
