--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,9 +52,6 @@
 	o.LocalReportWait = cmp.Or(o.LocalReportWait, defaultLocalReportWait)
 	o.RemoteReportWait = cmp.Or(o.RemoteReportWait, defaultRemoteReportWait)
 	o.ConfigWait = cmp.Or(o.ConfigWait, defaultConfigWait)
-	if o.WeightedInstances == nil {
-		o.WeightedInstances = o.Instances
-	}
 	if o.Isolated == nil {
 		o.Isolated = func() bool { return false }
 	}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -51,6 +51,9 @@
 }
 
 func newScheduler(o Options) *scheduler {
+	if o.WeightedInstances == nil {
+		o.WeightedInstances = o.Instances
+	}
 	placer := placement.New(o.FailureDomain, o.Random)
 	if o.Share != nil {
 		placer.SetShares(func(t *catalog.Target, n int) (bool, int) { return o.Share(incarnationHash(t), t.FailureDomain, n) })
