--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -15,7 +15,7 @@
 		var holds []*memoryHold
 		var bodies []*bodyMemory
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0:
 				holds = append(holds, &memoryHold{limit: l})
 			case 1:
@@ -28,11 +28,20 @@
 					newBody := rapid.SampledFrom([]func(string) *bodyMemory{h.newRequestBody, h.newResponseBody}).Draw(t, "kind")
 					bodies = append(bodies, newBody(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner")))
 				}
+			case 3: // a part of a response is written
+				if len(bodies) > 0 {
+					l.giveBack(bodies[rapid.IntRange(0, len(bodies)-1).Draw(t, "written")], rapid.Int64Range(1, 100<<10).Draw(t, "part"))
+				}
+			case 4: // a response is about to be written
+				if len(bodies) > 0 {
+					kept := bodies[rapid.IntRange(0, len(bodies)-1).Draw(t, "kept")]
+					kept.hold.keepOnly(kept)
+				}
 			default:
 				if len(bodies) > 0 {
 					b := bodies[rapid.IntRange(0, len(bodies)-1).Draw(t, "body")]
 					n := rapid.Int64Range(1, 200<<10).Draw(t, "bytes")
-					fits := b.bytes == 0 && !b.hold.released && b.fits(n)
+					fits := b.bytes == 0 && !b.hold.released && !b.ended && b.fits(n)
 					if got := b.reserve(n); fits && !got {
 						t.Fatal("what fits was refused")
 					}
