gateway: probes bear a request ID again

A target may write an answer a second time, late; its ID identifies it. The copy of a probe's answer had none, so it was taken for the answer to the next request on the connection: callers got 502 or 503 for a request that a target ran.

Probes and crash checks bear an ID again, so that such copies are skipped. They still name their target, use the path in force and are not sent without one, and a 400 that states "not run" still shows that the target is alive.

TestLateCopiesOfProbeAnswersAreSkipped failed before in all three cases (502, 503) and holds now. The stub gains a second answer to probes. No existing test has changed.

The fault that mended is back: a target that starts again under the same ID, with another path for probes, runs probes. A pool of connections for probes was ruled out, as it would cost a connection for most requests.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,8 @@
 	memory           *memoryLimit // of exchanges
 	responseSizes    responseSizes
 	targetBodies     targetBodies
-	connectionLimits sync.Map // by address, int
+	connectionLimits sync.Map      // by address, int
+	probes           atomic.Uint64 // sent so far, numbers their IDs
 	inFlight         atomic.Int64
 	crashChecks      atomic.Int64 // in progress
 	// configured is closed when the first configuration arrives.
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -206,11 +207,11 @@
 	return answer
 }
 
-// probe sends a probe and returns the response, whose body it has read. It fails if
-// the service has no path for probes any more, or if no complete response, or one with maxProbeBytes, arrives within probeTimeout. The probe
-// names its target: another one that has got the address rejects it. It bears no ID, since
-// the target itself may have started again with another path for probes, and would run
-// what bears one as a request.
+// probe sends a probe and returns the response, whose body it has read. It fails if the service
+// has no path for probes any more, or if no complete response, or one with maxProbeBytes, arrives
+// within probeTimeout. The probe names its target: another one that has got the address rejects
+// it. It bears an ID: a late copy of the response could not be told from the response to the next
+// request on the connection without one.
 func (g *Gateway) probe(ctx context.Context, t *catalog.Target, newConnection bool) (*http.Response, error) {
 	path, ok := g.healthPath(t.Service)
 	if !ok {
@@ -219,8 +220,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	d := &g.options.Dialect
+	id := "probe-" + strconv.FormatUint(g.probes.Add(1), 36)
 	response, err := g.client.Do(ctx, &transport.Attempt{Target: t.ID, Address: t.Address, Method: http.MethodGet, URI: path,
-		Header: http.Header{d.ExpectedTarget: {t.ID}}, EchoHeader: d.RequestID, NewConnection: newConnection})
+		Header: http.Header{d.RequestID: {id}, d.ExpectedTarget: {t.ID}}, EchoHeader: d.RequestID, NewConnection: newConnection})
 	if err != nil {
 		return nil, err
 	}
@@ -230,7 +232,7 @@
 }
 
 // doesNotKnowPath reports whether a response to a probe is of a target that has another path
-// for probes: it states that it runs no request without an ID.
+// for probes and states that it did not run the probe as a request. Such a target is alive.
 func doesNotKnowPath(d *Dialect, response *http.Response) bool {
 	return response.StatusCode == http.StatusBadRequest && response.Header.Get(d.NotRun) != ""
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -58,6 +58,12 @@
 	health     atomic.Int32 // status of probes
 	// healthBody is the body of the response to a probe.
 	healthBody string
+	// healthHeader holds additional header lines of the response to a probe.
+	healthHeader string
+	// repeatProbes writes the response to a probe once more, before the response to the next
+	// request on the connection. repeated counts these.
+	repeatProbes bool
+	repeated     atomic.Int64
 	// serve answers a request other than a probe, and reports whether the connection
 	// stays open.
 	serve func(t *target, conn net.Conn, r *http.Request, body []byte) bool
@@ -110,6 +116,7 @@
 func (s *target) handle(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
+	var probe *http.Request // the last one on the connection, if its response is to be repeated
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -121,9 +128,17 @@
 		}
 		if r.URL.Path == s.healthPath.Load() && !s.replaced.Load() {
 			s.probes.Add(1)
-			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), s.healthBody)
+			s.answerProbe(conn, r)
+			if s.repeatProbes {
+				probe = r
+			}
 			continue
 		}
+		if probe != nil {
+			s.answerProbe(conn, probe)
+			s.repeated.Add(1)
+			probe = nil
+		}
 		s.mu.Lock()
 		s.requests, s.bodies = append(s.requests, r), append(s.bodies, string(body))
 		s.mu.Unlock()
@@ -133,6 +148,10 @@
 	}
 }
 
+func (s *target) answerProbe(conn net.Conn, r *http.Request) {
+	s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string)+s.healthHeader, s.healthBody)
+}
+
 // respond writes a complete response with additional header lines.
 func (s *target) respond(conn net.Conn, status int, r *http.Request, header, body string) {
 	if header != "" {
--- a/gateway/unasked_test.go
+++ b/gateway/unasked_test.go
@@ -161,3 +161,32 @@
 	is.Equal(requests[1].Header.Get("Expected"), "b")
 	is.True(f.ranOnly("caller"))
 }
+
+// Guards against a late copy of the answer to a probe that is taken for the answer to the next
+// request on the connection: the request then ran at several targets, or its caller got the
+// answer to a probe.
+func TestLateCopiesOfProbeAnswersAreSkipped(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int32
+		header string
+	}{
+		"well":    {status: http.StatusOK},
+		"not run": {status: http.StatusBadRequest, header: "\r\nNot-Run: 1"},
+		"ill":     {status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			targets := []*target{startTarget(t, "a", runNamed), startTarget(t, "b", runNamed)}
+			for _, s := range targets {
+				s.repeatProbes, s.healthHeader = true, c.header
+				s.health.Store(c.status)
+			}
+			f := start(t, targets...)
+			got := f.send(t, "POST", "/unsafe/x", "", "Id", "caller")
+			is.Equal(got.status, 200)
+			is.True(got.body == "from a" || got.body == "from b")
+			is.True(f.ranOnly("caller"))
+			is.True(targets[0].repeated.Load()+targets[1].repeated.Load() > 0)
+		})
+	}
+}
