gateway: cut slow callers only if the reservation then passes

A reservation that does not fit cut the responses to slow callers one by one and could still fail, for example when it exceeded the limit by itself. Those callers got incomplete responses and nobody gained anything. The question whether a response would fit cut them too.

The deliveries to cut are now chosen first, on the figures that would be left after each cut, and only those whose memory counts to the limit that is short (for the share of an owner, those of that owner). They are cut only if the reservation then passes. responseFits counts what could be freed and cuts nothing.

No existing test has changed.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -64,18 +64,30 @@
 	l.requests.limit, l.responses.limit = longRequestShare*float64(bytes), longResponseShare*float64(bytes)
 }
 
-// mayGrow reports whether a body may use n more bytes.
-func (l *longBodies) mayGrow(b *bodyMemory, n int64) bool {
+// lacksRoom reports whether a body may not use n more bytes once the responses in cut are given
+// back. helps then selects the deliveries whose memory would make room; it is nil if none does.
+func (l *longBodies) lacksRoom(b *bodyMemory, n int64, cut []*delivery) (lacks bool, helps func(*delivery) bool) {
+	bytes, owned := l.bytes, l.owners[b.owner]
+	for _, d := range cut {
+		bytes -= d.hold.longBytes(l, "")
+		owned -= d.hold.longBytes(l, b.owner)
+	}
+	oldest := slices.IndexFunc(l.bodies, func(other *bodyMemory) bool {
+		return !slices.ContainsFunc(cut, func(d *delivery) bool { return d.hold == other.hold })
+	})
 	within := func(bytes int64, share float64) bool { return float64(bytes+n) <= share*l.limit }
+	anyLong := func(d *delivery) bool { return d.hold.longBytes(l, "") > 0 }
 	switch {
-	case !within(l.bytes, 1):
-		return false
-	case len(l.bodies) == 0 || l.bodies[0] == b:
-		return true
-	default:
-		others := l.owners[b.owner] > b.long
-		return within(l.bytes, youngBodyShare) && (!others || within(l.owners[b.owner], ownerShare))
+	case !within(bytes, 1):
+		return true, anyLong
+	case oldest < 0 || l.bodies[oldest] == b:
+		return false, nil
+	case !within(bytes, youngBodyShare):
+		return true, anyLong
+	case owned > b.long && !within(owned, ownerShare):
+		return true, func(d *delivery) bool { return d.hold.longBytes(l, b.owner) > 0 }
 	}
+	return false, nil
 }
 
 // grow counts n more bytes of a body.
@@ -123,11 +135,11 @@
 	if h.released {
 		return false
 	}
-	for h.limit.used+n > h.limit.limit {
-		if !h.limit.cutSlowest(func(*delivery) bool { return true }) {
-			return false
-		}
+	cut, ok := h.limit.planRoom(nil, n)
+	if !ok {
+		return false
 	}
+	h.limit.cutAll(cut)
 	h.bytes += n
 	h.limit.used += n
 	return true
@@ -194,10 +206,17 @@
 	l := b.hold.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b.ended || !b.hasRoom(n) || !b.hold.reserveLocked(n) {
+	if b.ended || b.hold.released {
 		return false
 	}
-	long := max(0, b.bytes+n-shortBodyBytes) - b.long
+	cut, ok := l.planRoom(b, n)
+	if !ok {
+		return false
+	}
+	l.cutAll(cut)
+	long := b.longOf(n)
+	b.hold.bytes += n
+	l.used += n
 	b.bytes += n
 	if long > 0 {
 		b.group.grow(b, long)
@@ -205,37 +224,27 @@
 	return true
 }
 
-// fits reports whether n bytes could be reserved now.
+// fits reports whether n bytes could be reserved now. It cuts no response.
 func (b *bodyMemory) fits(n int64) bool {
 	l := b.hold.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !b.hasRoom(n) {
-		return false
-	}
-	for l.used+n > l.limit {
-		if !l.cutSlowest(func(*delivery) bool { return true }) {
-			return false
-		}
-	}
-	return true
+	_, ok := l.planRoom(b, n)
+	return ok
 }
 
-// hasRoom reports whether n more bytes stay within the limits of long bodies. It cuts long
-// responses to slow callers as far as that helps.
-func (b *bodyMemory) hasRoom(n int64) bool {
-	long := max(0, b.bytes+n-shortBodyBytes) - b.long
-	for long > 0 && !b.group.mayGrow(b, long) {
-		if b.group != &b.hold.limit.responses || !b.hold.limit.cutSlowest(func(d *delivery) bool { return d.hold.hasLongBody() }) {
-			return false
+// longOf returns the part of n more bytes that lies beyond shortBodyBytes.
+func (b *bodyMemory) longOf(n int64) int64 { return max(0, b.bytes+n-shortBodyBytes) - b.long }
+
+// longBytes returns the bytes beyond shortBodyBytes of the bodies of a group that an owner has
+// sent. An empty owner stands for all.
+func (h *memoryHold) longBytes(group *longBodies, owner string) (n int64) {
+	for _, b := range h.bodies {
+		if b.group == group && (owner == "" || b.owner == owner) {
+			n += b.long
 		}
 	}
-	return true
-}
-
-// hasLongBody reports whether a body of the exchange is longer than shortBodyBytes.
-func (h *memoryHold) hasLongBody() bool {
-	return slices.ContainsFunc(h.bodies, func(b *bodyMemory) bool { return b.long > 0 })
+	return n
 }
 
 // giveBackLocked gives n bytes back.
--- a/gateway/slowreaders.go
+++ b/gateway/slowreaders.go
@@ -48,13 +48,45 @@
 	l.deliveries = slices.DeleteFunc(l.deliveries, func(other *delivery) bool { return other == d })
 }
 
-// cutSlowest cuts the matching delivery with the lowest rate among those whose caller is slow,
-// and gives its memory back. Callers that hold more than callerShare of the memory go first. It
-// reports false if there is none: a response that a caller takes at an ordinary rate has been
-// run, so a new request is refused before that is cut.
-func (l *memoryLimit) cutSlowest(match func(*delivery) bool) bool {
+// planRoom returns the deliveries that have to be cut so that n more bytes of a body fit, the
+// slowest first. A nil body stands for memory that belongs to none. ok is false if the bytes do
+// not fit even without all slow deliveries that make room; then none needs to be cut.
+func (l *memoryLimit) planRoom(b *bodyMemory, n int64) (cut []*delivery, ok bool) {
+	for {
+		lacks, helps := l.lacksRoom(b, n, cut)
+		if !lacks {
+			return cut, true
+		}
+		d := l.slowest(func(d *delivery) bool { return helps(d) && !slices.Contains(cut, d) })
+		if d == nil {
+			return nil, false
+		}
+		cut = append(cut, d)
+	}
+}
+
+// lacksRoom reports whether n more bytes of a body do not fit once the deliveries in cut have
+// given their memory back. helps then selects the deliveries whose memory would make room.
+func (l *memoryLimit) lacksRoom(b *bodyMemory, n int64, cut []*delivery) (lacks bool, helps func(*delivery) bool) {
+	used := l.used
+	for _, d := range cut {
+		used -= d.hold.bytes
+	}
+	if used+n > l.limit {
+		return true, func(d *delivery) bool { return d.hold.bytes > 0 }
+	}
+	if b == nil || b.longOf(n) <= 0 {
+		return false, nil
+	}
+	return b.group.lacksRoom(b, b.longOf(n), cut)
+}
+
+// slowest returns the matching delivery with the lowest rate among those whose caller is slow,
+// or nil. Callers that hold more than callerShare of the memory go first. A response that a
+// caller takes at an ordinary rate has been run, so a new request is refused before that is cut.
+func (l *memoryLimit) slowest(match func(*delivery) bool) *delivery {
 	if len(l.deliveries) == 0 {
-		return false
+		return nil
 	}
 	now := l.now()
 	held := make(map[string]int64)
@@ -71,12 +103,15 @@
 			slowest = d
 		}
 	}
-	if slowest == nil {
-		return false
+	return slowest
+}
+
+// cutAll cuts deliveries and gives their memory back.
+func (l *memoryLimit) cutAll(list []*delivery) {
+	for _, d := range list {
+		d.cut = true
+		l.remove(d)
+		d.hold.releaseLocked()
+		d.setWriteExpiry(time.Unix(1, 0)) // ends the write in progress
 	}
-	slowest.cut = true
-	l.remove(slowest)
-	slowest.hold.releaseLocked()
-	slowest.setWriteExpiry(time.Unix(1, 0)) // ends the write in progress
-	return true
 }
--- a/gateway/slowreaders_test.go
+++ b/gateway/slowreaders_test.go
@@ -73,3 +73,44 @@
 	is.True(slow.cut)
 	is.Equal(l.used, other.bytes)
 }
+
+// Guards against responses that are cut though the reservation fails all the same, and against
+// cuts by a question that reserves nothing. The load is two responses of 100 KiB to slow callers.
+func TestNothingIsCutInVain(t *testing.T) {
+	for name, c := range map[string]struct {
+		try func(l *memoryLimit, other *memoryHold) bool
+		ok  bool
+	}{
+		"more than the limit":          {try: func(_ *memoryLimit, other *memoryHold) bool { return other.reserve(2 << 20) }},
+		"more than all slow ones hold": {try: func(_ *memoryLimit, other *memoryHold) bool { return other.reserve(900 << 10) }},
+		"long body beyond its limit":   {try: func(_ *memoryLimit, other *memoryHold) bool { return other.newResponseBody("u").reserve(400 << 10) }},
+		"share of another owner": {try: func(_ *memoryLimit, other *memoryHold) bool {
+			// The target "u" has used most of its own share, of which no slow caller holds a part.
+			return other.newResponseBody("u").reserve(shortBodyBytes + 50<<10)
+		}},
+		"question": {ok: true, try: func(l *memoryLimit, _ *memoryHold) bool { return l.responseFits(200 << 10) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Duration(0)
+			l := newMemoryLimit(1<<20, func() time.Duration { return now }) // 230 KB for long responses
+			held := &memoryHold{limit: l}
+			if name != "question" {
+				is.True(held.newResponseBody("u").reserve(shortBodyBytes + 30<<10))
+				is.True(held.reserve(150 << 10))
+			}
+			var slow []*delivery
+			for _, caller := range []string{"a", "b"} {
+				d := &delivery{hold: &memoryHold{limit: l}, caller: caller, setWriteExpiry: func(time.Time) {}}
+				is.True(d.hold.newResponseBody("t").reserve(shortBodyBytes + 26<<10))
+				l.beginDelivery(d)
+				slow = append(slow, d)
+			}
+			now = time.Minute
+			is.Equal(c.try(l, &memoryHold{limit: l}), c.ok)
+			for _, d := range slow {
+				is.True(!d.cut)
+			}
+		})
+	}
+}
