gateway: judge slow callers by their rate, and only when memory is short

A caller that read 1 kB/s lost its connection though memory was not short: the system wakes a blocked writer only when a third of the send buffer is free, so its pieces took over stallTimeout (30 s). For the same reason a caller of an ordinary rate could count as slow between two pieces, and so did all callers after a pause of the process itself.

A delivery no longer changes the time limit of the connection; that of the server (2 min) holds as before. A caller is slow below 16 KiB/s over the whole delivery, less what the send buffer may hold, once a caller of that rate would have been seen to make progress. In the second after a gap in the ticks of the process nothing is cut.

TestDeliveryKeepsTheTimeLimitOfTheServer failed before and holds now. TestSlowIsJudgedByTheRate uses what is new here; without the look at gaps, two of its seven cases fail, without the rate one does. TestSlowestDeliveryIsCutFirst described callers by their last progress and now does so by their rate; it also checks that only a cut changes a time limit.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -12,15 +12,18 @@
 )
 
 const (
-	// deliveryPieceBytes is the size of the pieces in which a response is written. Progress
-	// is seen piece by piece; larger ones would make callers look slow that are not.
+	// deliveryPieceBytes is the size of the pieces in which a response is written. The rate of
+	// a caller is known piece by piece.
 	deliveryPieceBytes = 8 << 10
-	// stallTimeout is the time after which a caller that has taken no piece loses its
-	// connection. A caller that reads 1 kB/s takes one in 8 s.
-	stallTimeout = 30 * time.Second
-	// slowAfter is the time for one piece from which a caller counts as slow. The caller of
-	// a short response has taken it long before, also over a slow link.
+	// minCallerRate is the rate in bytes per second below which a caller counts as slow when
+	// memory is short. Slow callers read about 1 kB/s; a weak mobile link carries more than this.
+	minCallerRate = 16 << 10
+	// slowAfter is the least age of a delivery whose rate is judged. The caller of a short
+	// response has taken it long before, also over a slow link.
 	slowAfter = time.Second
+	// wakeShare is the part of the send buffer that is free before the system wakes a blocked
+	// writer, at most. Until the caller has taken that much, no progress is seen.
+	wakeShare = 1.0 / 3
 	// callerShare is the part of the memory limit up to which one caller may hold several
 	// responses while others need memory.
 	callerShare = 0.25
@@ -32,7 +35,7 @@
 // Ends of deliveries.
 const (
 	deliveryCut     deliveryEnd = "cut"     // its memory was needed for others
-	deliveryStalled deliveryEnd = "stalled" // the caller took nothing for stallTimeout
+	deliveryStalled deliveryEnd = "stalled" // the server's time limit for writing ended
 	deliveryFailed  deliveryEnd = "failed"  // the caller closed the connection, or it broke
 )
 
@@ -41,8 +44,7 @@
 	hold           *memoryHold
 	caller         string
 	began          time.Duration
-	lastProgress   time.Duration
-	written        int64
+	written        int64 // includes what the send buffer of the connection holds
 	cut            bool
 	setWriteExpiry func(time.Time)
 }
@@ -50,12 +52,17 @@
 // errCutForMemory is the error of a delivery that was cut.
 var errCutForMemory = errors.New("response cut: the caller reads slowly and its memory is needed for others")
 
-// slow reports whether the caller has not taken the present piece for slowAfter.
-func (d *delivery) slow(now time.Duration) bool { return now-d.lastProgress >= slowAfter }
+// slow reports whether the caller takes less than minCallerRate. A delivery is judged when a
+// caller of that rate has taken enough for the system to wake the writer.
+func (d *delivery) slow(now time.Duration, sendBuffer int64) bool {
+	wake := time.Duration(wakeShare * float64(sendBuffer) / minCallerRate * float64(time.Second))
+	return now-d.began >= max(slowAfter, wake) && d.rate(now, sendBuffer) < minCallerRate
+}
 
-// rate returns the bytes per second that the caller has taken so far.
-func (d *delivery) rate(now time.Duration) float64 {
-	return float64(d.written) / max(time.Millisecond, now-d.began).Seconds()
+// rate returns the bytes per second that the caller has taken so far: those that were written
+// less those that the send buffer may hold.
+func (d *delivery) rate(now time.Duration, sendBuffer int64) float64 {
+	return float64(max(0, d.written-sendBuffer)) / max(time.Millisecond, now-d.began).Seconds()
 }
 
 // deliver writes the body of a response, and gives its memory back as the caller takes it. It
@@ -101,5 +108,5 @@
 	now := x.gateway.options.Now()
 	x.gateway.options.Log.LogAttrs(x.caller.Context(), slog.LevelWarn, "response to a slow caller ended early", slog.String("id", x.id),
 		slog.String("end", string(end)), slog.String("caller", d.caller), slog.Int64("written_bytes", d.written),
-		slog.Float64("took_ms", millis(now-d.began)), slog.Float64("without_progress_ms", millis(now-d.lastProgress)))
+		slog.Float64("took_ms", millis(now-d.began)))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	}
 	g := &Gateway{options: o, scheduler: newScheduler(o), configured: make(chan struct{})}
 	g.memory = newMemoryLimit(o.MemoryBytes, o.Now)
+	g.memory.sendBuffer = o.CallerSendBuffer
+	begin := time.Now()
+	g.memory.gaps.now = func() time.Duration { return time.Since(begin) }
 	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
 		ConnectionLimit: g.connectionLimit})
 	return g
@@ -65,7 +68,10 @@
 // Run runs the scheduler until the context ends, then closes the connections to
 // targets.
 func (g *Gateway) Run(ctx context.Context) {
+	var watch sync.WaitGroup
+	watch.Go(func() { g.memory.watchGaps(ctx) })
 	g.scheduler.run(ctx)
+	watch.Wait()
 	g.client.Close()
 }
 
@@ -98,6 +104,9 @@
 // SetMemoryBytes replaces Options.MemoryBytes.
 func (g *Gateway) SetMemoryBytes(limit int64) { g.memory.setLimit(limit) }
 
+// SetCallerSendBuffer replaces Options.CallerSendBuffer.
+func (g *Gateway) SetCallerSendBuffer(bytes int64) { g.memory.setSendBuffer(bytes) }
+
 // MemoryInUse returns the bytes that exchanges hold now, of Options.MemoryBytes.
 func (g *Gateway) MemoryInUse() int64 { return g.memory.inUse() }
 
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -38,6 +38,9 @@
 	// out, those of slow callers are cut.
 	deliveries []*delivery
 	now        func() time.Duration
+	gaps       gapWatch
+	// sendBuffer is the size of the send buffer of a caller's connection in bytes, 0 if unknown.
+	sendBuffer int64
 }
 
 // longBodies is the part of the memory that is used for the parts of bodies beyond
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -50,6 +50,9 @@
 	// hold the parts of request bodies beyond their first 64 KiB, another those of
 	// responses.
 	MemoryBytes int64
+	// CallerSendBuffer is the size of the send buffer of a caller's connection in bytes. What
+	// it may hold does not count as taken by the caller. 0: unknown, all of it counts.
+	CallerSendBuffer int64
 	// LocalReportWait and RemoteReportWait limit the wait for load reports of
 	// targets in this failure domain and in others. Defaults: 6 ms and 12 ms.
 	LocalReportWait, RemoteReportWait time.Duration
--- a/gateway/slowreaders.go
+++ b/gateway/slowreaders.go
@@ -10,37 +10,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d.began = l.now()
-	d.lastProgress = d.began
 	l.deliveries = append(l.deliveries, d)
 }
 
-// mayWrite sets the time limit for the next piece of a delivery. It reports false if the
-// delivery was cut.
+// setSendBuffer replaces the size of the send buffer of a caller's connection.
+func (l *memoryLimit) setSendBuffer(bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sendBuffer = bytes
+}
+
+// mayWrite reports whether the delivery was not cut.
 func (l *memoryLimit) mayWrite(d *delivery) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !d.cut {
-		d.setWriteExpiry(time.Now().Add(stallTimeout))
-	}
 	return !d.cut
 }
 
-// progress records that the caller has taken n bytes.
+// progress records that n bytes were written.
 func (l *memoryLimit) progress(d *delivery, n int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d.written += n
-	d.lastProgress = l.now()
 }
 
 // endDelivery removes a delivery and reports whether it was cut.
 func (l *memoryLimit) endDelivery(d *delivery) (cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !d.cut {
-		d.setWriteExpiry(time.Time{})
-		l.remove(d)
-	}
+	l.remove(d)
 	return d.cut
 }
 
@@ -84,8 +82,9 @@
 // slowest returns the matching delivery with the lowest rate among those whose caller is slow,
 // or nil. Callers that hold more than callerShare of the memory go first. A response that a
 // caller takes at an ordinary rate has been run, so a new request is refused before that is cut.
+// After a gap in the process's own run nothing is known about callers, and none is slow.
 func (l *memoryLimit) slowest(match func(*delivery) bool) *delivery {
-	if len(l.deliveries) == 0 {
+	if len(l.deliveries) == 0 || l.gaps.inGap() {
 		return nil
 	}
 	now := l.now()
@@ -96,10 +95,10 @@
 	over := func(d *delivery) bool { return float64(held[d.caller]) > callerShare*float64(l.limit) }
 	var slowest *delivery
 	for _, d := range l.deliveries {
-		if !d.slow(now) || !match(d) {
+		if !d.slow(now, l.sendBuffer) || !match(d) {
 			continue
 		}
-		if slowest == nil || over(d) && !over(slowest) || over(d) == over(slowest) && d.rate(now) < slowest.rate(now) {
+		if slowest == nil || over(d) && !over(slowest) || over(d) == over(slowest) && d.rate(now, l.sendBuffer) < slowest.rate(now, l.sendBuffer) {
 			slowest = d
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,7 @@
 			return n.fleet.Snapshot().Share(key, slices.Index(o.Settings.FailureDomains, domain), count)
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
-		MemoryBytes:     o.Settings.exchangeBytes(),
+		MemoryBytes: o.Settings.exchangeBytes(), CallerSendBuffer: o.Settings.sendBufferBytes(),
 		OnFailureReport: n.fleet.ReportFailure, OnPanic: n.panicked, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
--- a/node/reload.go
+++ b/node/reload.go
@@ -24,6 +24,7 @@
 	n.gateway.SetRetryBudget(s.retryBudget())
 	n.gateway.SetProbesPerTarget(s.Bounds.ProbesPerTarget)
 	n.gateway.SetMemoryBytes(s.exchangeBytes())
+	n.gateway.SetCallerSendBuffer(s.sendBufferBytes())
 	for _, server := range n.servers {
 		server.conns.SetHeaderMemory(s.headerBytes())
 		server.conns.SetSendBuffer(s.sendBufferBytes())
