gateway: count the memory of an awaited response once

The expected size of a response counted as awaited until its exchange had ended, and a second time as it was read. Routes with only long responses got 503 at about half of the room, also without slow readers. It also counted while the request waited for a target. A learned size over a limit that was lowered later refused its route for good.

The size now counts from the reservation of a target until the head of the response arrives. If nothing is awaited and no long response is held, one is always admitted.

TestResponseThatIsReadCountsOnce (503) and TestOneResponseIsAlwaysAdmitted failed before and hold now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,10 +65,11 @@
 func (o attemptOutcome) didNotRun() bool { return o == attemptRejected || o == attemptNotSent }
 
 // send sends the request and waits until the response is complete or the
-// attempt fails.
-func (x *exchange) send(ctx context.Context, request *transport.Attempt) attemptEnd {
+// attempt fails. arrived is called when the head of the response has arrived.
+func (x *exchange) send(ctx context.Context, request *transport.Attempt, arrived func()) attemptEnd {
 	g := x.gateway
 	resp, err := g.client.Do(ctx, request)
+	arrived()
 	if err == nil {
 		var body segments.Buffer
 		memory := x.memory.newResponseBody(request.Target)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -110,11 +110,6 @@
 	if !hasTargets {
 		return newRefusal(outcomeNoTarget, defaultRetryAfter)
 	}
-	expected, ok := g.responseSizes.begin(route.Name, g.memory.responseFits)
-	if !ok {
-		return newRefusal(outcomeNoRoom, defaultRetryAfter)
-	}
-	defer g.responseSizes.end(expected)
 	ctx, cancel := context.WithTimeout(x.caller.Context(), x.deadline-g.options.Now())
 	defer cancel()
 	return x.forward(ctx)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
@@ -56,9 +57,10 @@
 		case s := <-r.selected:
 			r.selecting, r.lastReports = false, s.reports
 			r.releaseIfUnwanted(&s)
+			expected := r.awaitResponse(&s)
 			switch {
 			case s.refusal == nil:
-				r.startAttempt(s.reservation)
+				r.startAttempt(s.reservation, expected)
 			case r.active == 0:
 				return r.finalResponse(s.refusal)
 			default:
@@ -125,6 +127,22 @@
 	r.release(s.reservation)
 }
 
+// awaitResponse adds the response of a selected target to those that are awaited, and returns the
+// bytes that it is expected to need. If it would find no memory, the target is replaced by a
+// refusal.
+func (r *forwarder) awaitResponse(s *selection) (expected int64) {
+	if s.refusal != nil {
+		return 0
+	}
+	g := r.gateway
+	expected, ok := g.responseSizes.begin(r.request.Route.Name, g.memory.responseFits)
+	if !ok {
+		s.refusal = newRefusal(outcomeNoRoom, defaultRetryAfter)
+		r.release(s.reservation)
+	}
+	return expected
+}
+
 // release gives up a reserved target to which the request was not sent.
 func (r *forwarder) release(res reservation) {
 	r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
@@ -143,8 +161,9 @@
 	}()
 }
 
-// startAttempt sends the request to a reserved target in another goroutine.
-func (r *forwarder) startAttempt(res reservation) {
+// startAttempt sends the request to a reserved target in another goroutine. expected is the
+// result of awaitResponse.
+func (r *forwarder) startAttempt(res reservation, expected int64) {
 	afterFailure := r.failedTargets > 0 || r.countAttempts(func(a *attempt) bool { return a.outcome == attemptBroken }) > 0
 	a := &attempt{reservation: res, number: len(r.attempts) + 1, afterFailure: afterFailure}
 	r.attempts = append(r.attempts, a)
@@ -152,9 +171,11 @@
 	r.active++
 	r.hedgeTimer.Reset(res.HedgeAfter)
 	outgoing := r.outgoingRequest(a)
+	arrived := sync.OnceFunc(func() { r.gateway.responseSizes.end(expected) })
 	go func() {
+		defer arrived()
 		var e attemptEnd
-		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = r.send(r.ctx, outgoing) }); err != nil {
+		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = r.send(r.ctx, outgoing, arrived) }); err != nil {
 			e = attemptEnd{outcome: attemptBroken, err: err, endedAt: r.gateway.options.Now()}
 		}
 		r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -274,8 +274,19 @@
 	return l.used
 }
 
-// responseFits reports whether a response of n bytes could be buffered now.
-func (l *memoryLimit) responseFits(n int64) bool {
+// responseFits reports whether a response of the expected size could be buffered beside those
+// that are pending, in bytes. A single one is always admitted: its size is an estimate, and the
+// limit may have been lowered since it was learned.
+func (l *memoryLimit) responseFits(pending, expected int64) bool {
+	if pending == 0 && l.holdsNoLongResponse() {
+		return true
+	}
 	h := &memoryHold{limit: l}
-	return h.newResponseBody("").fits(n)
+	return h.newResponseBody("").fits(pending + expected)
+}
+
+func (l *memoryLimit) holdsNoLongResponse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.responses.bytes == 0
 }
--- a/gateway/responsesizes.go
+++ b/gateway/responsesizes.go
@@ -13,27 +13,29 @@
 type responseSizes struct {
 	mu       sync.Mutex
 	expected map[string]float64
-	// pending is the sum of the expected sizes of the responses that are awaited.
+	// pending is the sum of the expected sizes of the responses whose head has not arrived. The
+	// memory of the others is counted as they are read.
 	pending int64
 }
 
 // begin returns the memory that the response to a request on the route is expected to need, and
-// adds it to that of the responses that are awaited, if fits reports that all of them have
-// room. Responses of up to shortBodyBytes need none: they always have room.
-func (s *responseSizes) begin(route string, fits func(bytes int64) bool) (expected int64, ok bool) {
+// adds it to that of the responses that are awaited, if fits reports that it has room beside
+// these. Responses of up to shortBodyBytes need none: they always have room.
+func (s *responseSizes) begin(route string, fits func(pending, expected int64) bool) (expected int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if expected = int64(s.expected[route]); expected <= shortBodyBytes {
 		return 0, true
 	}
-	if !fits(s.pending + expected) {
+	if !fits(s.pending, expected) {
 		return 0, false
 	}
 	s.pending += expected
 	return expected, true
 }
 
-// end records that a response is no longer awaited.
+// end records that a response is no longer awaited: its head has arrived, or its attempt has
+// ended.
 func (s *responseSizes) end(expected int64) {
 	if expected == 0 {
 		return
