gateway: a cut before the flush is an error

A response that was cut after its last piece and before the flush counted as delivered: the exchange neither counted nor logged the cut, although the end of the body was still in net/http's buffers. The delivery now ends with the error of a cut.

TestCutAfterTheLastPieceIsAnError failed before and holds now.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -85,7 +85,11 @@
 		l.progress(d, int64(n))
 		return err
 	}, func(freed int64) { l.giveBack(resp.memory, freed) })
-	if err == nil && l.mayWrite(d) {
+	switch {
+	case err != nil:
+	case !l.mayWrite(d):
+		err = errCutForMemory // the end is still in net/http's buffers
+	default:
 		err = x.controller.Flush() // or net/http does so when the memory is given back
 	}
 	wasCut := l.endDelivery(d)
