gateway: no memory for a response that arrives after the choice

Once the caller's response is chosen, the other attempts get no more memory. That did not hold for an attempt whose head arrived afterwards: it added a new body to the exchange and reserved memory for it until the exchange ended. Bodies that are added after keepOnly now get none.

TestOnlyTheKeptBodyHasMemory failed before and holds now.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -124,6 +124,7 @@
 	bytes    int64
 	bodies   []*bodyMemory
 	released bool
+	chosen   bool // no body that is added gets memory, see keepOnly
 }
 
 // reserve adds n bytes that belong to no body. It reports false if the limit is exceeded or
@@ -161,15 +162,17 @@
 func (h *memoryHold) newBody(b *bodyMemory) *bodyMemory {
 	h.limit.mu.Lock()
 	defer h.limit.mu.Unlock()
+	b.ended = h.chosen
 	h.bodies = append(h.bodies, b)
 	return b
 }
 
 // keepOnly gives back the memory of all bodies but one, which may be nil. Bodies of attempts
-// that are still in progress get no more memory.
+// that are still in progress get no more memory, nor do those whose head arrives later.
 func (h *memoryHold) keepOnly(kept *bodyMemory) {
 	h.limit.mu.Lock()
 	defer h.limit.mu.Unlock()
+	h.chosen = true
 	for _, b := range h.bodies {
 		if b != kept {
 			b.giveBackLocked(b.bytes)
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -118,3 +118,17 @@
 	}
 	is.Equal(completed, 4)
 }
+
+// Guards against memory for the response of another attempt whose head arrives when the caller's
+// response is written already.
+func TestOnlyTheKeptBodyHasMemory(t *testing.T) {
+	is := is.New(t)
+	h := &memoryHold{limit: newMemoryLimit(1<<20, nil)}
+	kept, other := h.newResponseBody("t"), h.newResponseBody("u")
+	is.True(kept.reserve(1000))
+	is.True(other.reserve(1000))
+	h.keepOnly(kept)
+	is.True(!other.reserve(1000))
+	is.True(!h.newResponseBody("v").reserve(1000))
+	is.Equal(h.limit.used, int64(1000))
+}
