node: bound the send buffer of callers' connections only

The bound of the send buffer also applied to the servers for addresses, readiness and metrics, whose responses no slow caller holds. It applies to the callers' server only now.

--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,7 @@
 		return n.resolver.resolve(n.fleet.Snapshot(), o), n.settings.Load().resolveValidity()
 	}
 	n.servers = []*server{
-		newServer("callers", s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
+		newServer(callersServer, s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
 		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.newConns(), n.options.Log),
 		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.newConns(), n.options.Log),
 	}
@@ -109,6 +109,7 @@
 		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.newConns(), n.options.Log))
 	}
 	for _, server := range n.servers {
+		server.setMemory(s)
 		if err := server.listen(); err != nil {
 			return err
 		}
@@ -118,12 +119,9 @@
 
 // newConns returns the connections of one server.
 func (n *Node) newConns() *callerconn.Conns {
-	conns := callerconn.NewConns(
+	return callerconn.NewConns(
 		func() callerconn.Limits { return connectionLimits(n.fleet.View().Config) },
 		func(limit callerconn.Expiry) { n.metrics.ConnectionExpired(string(limit)) })
-	conns.SetHeaderMemory(n.options.Settings.headerBytes())
-	conns.SetSendBuffer(n.options.Settings.sendBufferBytes())
-	return conns
 }
 
 // viewChanged notifies the gateway of a new view and returns whether the instance is
--- a/node/reload.go
+++ b/node/reload.go
@@ -26,8 +26,7 @@
 	n.gateway.SetMemoryBytes(s.exchangeBytes())
 	n.gateway.SetCallerSendBuffer(s.sendBufferBytes())
 	for _, server := range n.servers {
-		server.conns.SetHeaderMemory(s.headerBytes())
-		server.conns.SetSendBuffer(s.sendBufferBytes())
+		server.setMemory(s)
 	}
 	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance,
 		"seeds", len(seeds), "probes_per_target", s.Bounds.ProbesPerTarget, "memory_bytes", s.MemoryBytes)
--- a/node/server.go
+++ b/node/server.go
@@ -22,6 +22,9 @@
 	maxHeaderBytes = 256 << 10
 )
 
+// callersServer is the name of the server for requests of callers.
+const callersServer = "callers"
+
 // server is an HTTP server with its listener. name appears in errors.
 type server struct {
 	name    string
@@ -36,6 +39,15 @@
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}}
 }
 
+// setMemory applies the bounds for the memory of connections. Only callers get long responses, so
+// the send buffers of the other servers are left to the system.
+func (s *server) setMemory(settings *Settings) {
+	s.conns.SetHeaderMemory(settings.headerBytes())
+	if s.name == callersServer {
+		s.conns.SetSendBuffer(settings.sendBufferBytes())
+	}
+}
+
 func (s *server) listen() error {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
