gateway: no delivery for bodies that net/http buffers

Each response took the lock of the memory limit several times and was flushed by itself, also a body of a few bytes, which no slow caller can hold up. Bodies of up to 2 KiB, the buffer of net/http for a handler's output, are now written as before the change for slow readers. The saving in processor time was not measured.

TestShortBodyIsNoDelivery uses what is new here; with deliveries for all bodies, as before, it fails.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -15,6 +15,9 @@
 	// deliveryPieceBytes is the size of the pieces in which a response is written. The rate of
 	// a caller is known piece by piece.
 	deliveryPieceBytes = 8 << 10
+	// bufferedBodyBytes is the size up to which net/http takes a body into its buffer when the
+	// handler writes it. Such a write does not wait for the caller.
+	bufferedBodyBytes = 2 << 10
 	// minCallerRate is the rate in bytes per second below which a caller counts as slow when
 	// memory is short. Slow callers read about 1 kB/s; a weak mobile link carries more than this.
 	minCallerRate = 16 << 10
@@ -70,6 +73,9 @@
 // connection then cannot be used any more, and the response does not look complete, since its
 // head states the length.
 func (x *exchange) deliver(w http.ResponseWriter, resp *response) (deliveryEnd, error) {
+	if resp.body.Len() <= bufferedBodyBytes {
+		return deliverShort(w, resp)
+	}
 	x.memory.keepOnly(resp.memory)
 	x.body = segments.Buffer{} // no attempt is made any more
 	d := &delivery{hold: &x.memory, caller: x.callerAddress(), setWriteExpiry: func(t time.Time) {
@@ -107,6 +113,18 @@
 	}
 }
 
+// deliverShort writes a body that fits net/http's buffer. Its caller cannot hold up the write, so
+// its progress is not recorded: that would cost processor time on each short response.
+func deliverShort(w http.ResponseWriter, resp *response) (deliveryEnd, error) {
+	if resp.body.Len() == 0 {
+		return "", nil
+	}
+	if _, err := resp.body.WriteTo(w); err != nil {
+		return deliveryFailed, err
+	}
+	return "", nil
+}
+
 // logDelivery logs a response that its caller has not got to the end because it reads slowly.
 func (x *exchange) logDelivery(d *delivery, end deliveryEnd) {
 	now := x.gateway.options.Now()
--- a/gateway/delivery_test.go
+++ b/gateway/delivery_test.go
@@ -81,3 +81,19 @@
 	is.True(l.mayWrite(d))
 	is.True(!l.endDelivery(d))
 }
+
+// Guards against processor time for the progress of short responses, which net/http buffers, and
+// against a flush of its own for each.
+func TestShortBodyIsNoDelivery(t *testing.T) {
+	for bytes, short := range map[int]bool{0: true, bufferedBodyBytes: true, bufferedBodyBytes + 1: false} {
+		is := is.New(t)
+		w := &pieceWriter{ResponseRecorder: httptest.NewRecorder()}
+		x, resp := newDelivery(t, w, bytes)
+		w.onWrite = func(int) { is.Equal(len(x.gateway.memory.deliveries) == 0, short) }
+		end, err := x.deliver(w, resp)
+		is.NoErr(err)
+		is.Equal(end, deliveryEnd(""))
+		is.Equal(w.written, bytes)
+		is.Equal(w.flushes == 0, short)
+	}
+}
