gateway: tests for slow readers and probes end by themselves

Several tests waited for a channel or a counter without a limit and would have hung until the time limit of go test if the code were wrong; these waits now end after testTimeout. No check was removed.

--- a/gateway/awaited_test.go
+++ b/gateway/awaited_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -38,19 +37,11 @@
 	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200) // the size is learned
 	status := make(chan int, 1)
 	go func() { status <- f.send(t, "POST", "/unsafe/x", "", "Id", "held").status }()
-	select {
-	case <-held:
-	case <-time.After(testTimeout):
-		t.Fatal("no target got the request")
-	}
-	for limit := time.Now().Add(testTimeout); f.gateway.MemoryInUse() < longResponse; time.Sleep(time.Millisecond) {
-		if time.Now().After(limit) {
-			t.Fatal("the response is not read")
-		}
-	}
-	f.targets = []*target{startTarget(t, "b", answer)} // one target may not send both
+	await(t, held)
+	awaitTrue(t, func() bool { return f.gateway.MemoryInUse() >= longResponse }) // it is read
+	f.targets = []*target{startTarget(t, "b", answer)}                           // one target may not send both
 	f.configure(catalog.Limits{})
 	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
 	end()
-	is.Equal(<-status, 200)
+	is.Equal(await(t, status), 200)
 }
--- a/gateway/fulltargets_test.go
+++ b/gateway/fulltargets_test.go
@@ -71,7 +71,7 @@
 			}
 			total := 0
 			for range callers {
-				total += <-served
+				total += await(t, served)
 			}
 			is.Equal(dropped.Load(), int64(0))
 			is.True(total > 0)
@@ -93,13 +93,11 @@
 			}))
 			got := make(chan int, 1)
 			go func() { got <- f.send(t, "POST", path, "", "Deadline-Ms", "5000").status }()
-			for f.targets[0].ran.Load() == 0 && len(got) == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			awaitTrue(t, func() bool { return f.targets[0].ran.Load() > 0 || len(got) > 0 })
 			f.targets = append(f.targets, startTarget(t, "b", run))
 			f.configure(catalog.Limits{})
-			is.Equal(<-got, status)
-			<-closed
+			is.Equal(await(t, got), status)
+			await(t, closed)
 			is.Equal(len(f.targets[0].received()), 1)
 			is.Equal(f.targets[1].ran.Load() == 1, status == http.StatusOK)
 		})
--- a/gateway/slowcallers_test.go
+++ b/gateway/slowcallers_test.go
@@ -76,6 +76,7 @@
 	for n := range callers {
 		slow = append(slow, startSlowCaller(t, n, strings.TrimPrefix(server.URL, "http://")))
 	}
+	f.clockAhead.Store(int64(time.Minute)) // now they are slow
 	short, long := 0, 0
 	for deadline := time.Now().Add(testTimeout); long < callers && time.Now().Before(deadline); {
 		is.True(f.gateway.MemoryInUse() <= limit)
@@ -111,7 +112,5 @@
 	}
 	t.Logf("%d short responses; slow callers: %d complete, %d cut, %d refused", short, complete, cut, refused)
 	is.True(cut > 0)
-	for f.gateway.MemoryInUse() > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitTrue(t, func() bool { return f.gateway.MemoryInUse() == 0 })
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -46,6 +46,27 @@
 			RetryAfter: time.Duration(pause) * time.Millisecond}
 	}}
 
+// await receives from a channel, and fails the test if nothing arrives within testTimeout.
+func await[T any](t *testing.T, ch <-chan T) (value T) {
+	t.Helper()
+	select {
+	case value = <-ch:
+	case <-time.After(testTimeout):
+		t.Fatal("nothing has arrived")
+	}
+	return value
+}
+
+// awaitTrue waits until a condition holds, and fails the test after testTimeout.
+func awaitTrue(t *testing.T, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the condition does not hold")
+		}
+	}
+}
+
 // target is a server whose responses a test defines.
 type target struct {
 	id       string
@@ -197,6 +218,8 @@
 	// failureReports receives the reports for other instances.
 	failureReports chan quarantine.FailureReport
 	urgent         atomic.Bool // whether the last one was urgent
+	// clockAhead is the time in nanoseconds by which the gateway's clock is ahead.
+	clockAhead atomic.Int64
 }
 
 func routes() []catalog.Route {
@@ -233,7 +256,7 @@
 		LocalReportWait: testTimeout, RemoteReportWait: testTimeout, Log: slog.New(slog.DiscardHandler),
 		OnPanic: func(string, any, []byte) { f.panics.Add(1) },
 		Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
-		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) }})
+		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) + time.Duration(f.clockAhead.Load()) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.gateway.Run(ctx); close(ended) }()
--- a/gateway/targetbodies_test.go
+++ b/gateway/targetbodies_test.go
@@ -30,13 +30,13 @@
 	statuses := make(chan int, 2)
 	for range 2 {
 		go func() { statuses <- f.send(t, "POST", "/unsafe/x", long).status }()
-		<-begun
+		await(t, begun)
 	}
 	is.Equal(f.send(t, "POST", "/brief/x", long).status, 503)
 	is.Equal(f.send(t, "POST", "/unsafe/x", "short").status, 200)
 	end()
 	for range 2 {
-		is.Equal(<-statuses, 200)
+		is.Equal(await(t, statuses), 200)
 	}
 	is.Equal(f.send(t, "POST", "/unsafe/x", long).status, 200)                       // all room is given back
 	is.Equal(f.send(t, "POST", "/unsafe/x", strings.Repeat("b", 3<<20)).status, 200) // a single longer one is sent
--- a/gateway/unasked_test.go
+++ b/gateway/unasked_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -108,12 +107,12 @@
 	statuses := make(chan int, 4)
 	for range 4 { // slots
 		go func() { statuses <- f.send(t, "POST", "/unsafe/x", "").status }()
-		<-begun
+		await(t, begun)
 	}
 	is.Equal(f.send(t, "POST", "/unsafe/x", "", "Deadline-Ms", "100").status, 503)
 	end()
 	for range 4 {
-		is.Equal(<-statuses, 200)
+		is.Equal(await(t, statuses), 200)
 	}
 }
 
@@ -126,18 +125,14 @@
 	target.load.Store("4,8,4")
 	status := make(chan int, 1)
 	go func() { status <- f.send(t, "POST", "/unsafe/x", "", "Id", "caller").status }()
-	for target.probes.Load() < 2 { // the second probe is of a request that waits
-		time.Sleep(time.Millisecond)
-	}
+	awaitTrue(t, func() bool { return target.probes.Load() >= 2 }) // the second probe is of a request that waits
 	f.healthPath = "/alive"
 	f.configure(catalog.Limits{})
 	target.healthPath.Store("/alive")
 	seen := target.probes.Load()
-	for target.probes.Load() < seen+2 && len(status) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	awaitTrue(t, func() bool { return target.probes.Load() >= seen+2 || len(status) > 0 })
 	target.load.Store("0,0,4")
-	is.Equal(<-status, 200)
+	is.Equal(await(t, status), 200)
 	is.True(f.ranOnly("caller"))
 	is.True(target.probes.Load() >= seen+2)
 }
