--- a/gateway/gaps.go
+++ b/gateway/gaps.go
@@ -8,8 +8,8 @@
 const (
 	// gapTick is the interval at which a gapWatch looks at the clock.
 	gapTick = 250 * time.Millisecond
-	// gapAfter is the time without a tick from which the process counts as held up. It is
-	// well over the pauses of a process with a tenth of a processor.
+	// gapAfter is the time without a tick from which the process counts as held up. With the
+	// system's default period of 100 ms, one with a tenth of a processor pauses for 90 ms.
 	gapAfter = 3 * gapTick
 	// gapGrace is the time after a gap in which callers have not had the time to take what
 	// was not written during it.
