--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -112,11 +112,6 @@
 	if admitted.turnedAway {
 		return newRefusal(outcomeTurnedAway, admitted.retryAfter)
 	}
-	expected, ok := g.responseSizes.begin(route.Name, g.memory.responseFits)
-	if !ok {
-		return newRefusal(outcomeNoRoom, defaultRetryAfter)
-	}
-	defer g.responseSizes.end(expected)
 	ctx, cancel := context.WithTimeout(x.caller.Context(), x.deadline-g.options.Now())
 	defer cancel()
 	return x.forward(ctx)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -38,6 +38,9 @@
 	// out, those of slow callers are cut.
 	deliveries []*delivery
 	now        func() time.Duration
+	gaps       gapWatch
+	// sendBuffer is the size of the send buffer of a caller's connection in bytes, 0 if unknown.
+	sendBuffer int64
 }
 
 // longBodies is the part of the memory that is used for the parts of bodies beyond
@@ -64,18 +67,30 @@
 	l.requests.limit, l.responses.limit = longRequestShare*float64(bytes), longResponseShare*float64(bytes)
 }
 
-// mayGrow reports whether a body may use n more bytes.
-func (l *longBodies) mayGrow(b *bodyMemory, n int64) bool {
+// lacksRoom reports whether a body may not use n more bytes once the responses in cut are given
+// back. helps then selects the deliveries whose memory would make room; it is nil if none does.
+func (l *longBodies) lacksRoom(b *bodyMemory, n int64, cut []*delivery) (lacks bool, helps func(*delivery) bool) {
+	bytes, owned := l.bytes, l.owners[b.owner]
+	for _, d := range cut {
+		bytes -= d.hold.longBytes(l, "")
+		owned -= d.hold.longBytes(l, b.owner)
+	}
+	oldest := slices.IndexFunc(l.bodies, func(other *bodyMemory) bool {
+		return !slices.ContainsFunc(cut, func(d *delivery) bool { return d.hold == other.hold })
+	})
 	within := func(bytes int64, share float64) bool { return float64(bytes+n) <= share*l.limit }
+	anyLong := func(d *delivery) bool { return d.hold.longBytes(l, "") > 0 }
 	switch {
-	case !within(l.bytes, 1):
-		return false
-	case len(l.bodies) == 0 || l.bodies[0] == b:
-		return true
-	default:
-		others := l.owners[b.owner] > b.long
-		return within(l.bytes, youngBodyShare) && (!others || within(l.owners[b.owner], ownerShare))
+	case !within(bytes, 1):
+		return true, anyLong
+	case oldest < 0 || l.bodies[oldest] == b:
+		return false, nil
+	case !within(bytes, youngBodyShare):
+		return true, anyLong
+	case owned > b.long && !within(owned, ownerShare):
+		return true, func(d *delivery) bool { return d.hold.longBytes(l, b.owner) > 0 }
 	}
+	return false, nil
 }
 
 // grow counts n more bytes of a body.
@@ -109,6 +124,7 @@
 	bytes    int64
 	bodies   []*bodyMemory
 	released bool
+	chosen   bool // no body that is added gets memory, see keepOnly
 }
 
 // reserve adds n bytes that belong to no body. It reports false if the limit is exceeded or
@@ -123,11 +139,11 @@
 	if h.released {
 		return false
 	}
-	for h.limit.used+n > h.limit.limit {
-		if !h.limit.cutSlowest(func(*delivery) bool { return true }) {
-			return false
-		}
+	cut, ok := h.limit.planRoom(nil, n)
+	if !ok {
+		return false
 	}
+	h.limit.cutAll(cut)
 	h.bytes += n
 	h.limit.used += n
 	return true
@@ -146,15 +162,17 @@
 func (h *memoryHold) newBody(b *bodyMemory) *bodyMemory {
 	h.limit.mu.Lock()
 	defer h.limit.mu.Unlock()
+	b.ended = h.chosen
 	h.bodies = append(h.bodies, b)
 	return b
 }
 
 // keepOnly gives back the memory of all bodies but one, which may be nil. Bodies of attempts
-// that are still in progress get no more memory.
+// that are still in progress get no more memory, nor do those whose head arrives later.
 func (h *memoryHold) keepOnly(kept *bodyMemory) {
 	h.limit.mu.Lock()
 	defer h.limit.mu.Unlock()
+	h.chosen = true
 	for _, b := range h.bodies {
 		if b != kept {
 			b.giveBackLocked(b.bytes)
@@ -194,10 +212,17 @@
 	l := b.hold.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b.ended || !b.hasRoom(n) || !b.hold.reserveLocked(n) {
+	if b.ended || b.hold.released {
+		return false
+	}
+	cut, ok := l.planRoom(b, n)
+	if !ok {
 		return false
 	}
-	long := max(0, b.bytes+n-shortBodyBytes) - b.long
+	l.cutAll(cut)
+	long := b.longOf(n)
+	b.hold.bytes += n
+	l.used += n
 	b.bytes += n
 	if long > 0 {
 		b.group.grow(b, long)
@@ -205,37 +230,27 @@
 	return true
 }
 
-// fits reports whether n bytes could be reserved now.
+// fits reports whether n bytes could be reserved now. It cuts no response.
 func (b *bodyMemory) fits(n int64) bool {
 	l := b.hold.limit
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !b.hasRoom(n) {
-		return false
-	}
-	for l.used+n > l.limit {
-		if !l.cutSlowest(func(*delivery) bool { return true }) {
-			return false
-		}
-	}
-	return true
+	_, ok := l.planRoom(b, n)
+	return ok
 }
 
-// hasRoom reports whether n more bytes stay within the limits of long bodies. It cuts long
-// responses to slow callers as far as that helps.
-func (b *bodyMemory) hasRoom(n int64) bool {
-	long := max(0, b.bytes+n-shortBodyBytes) - b.long
-	for long > 0 && !b.group.mayGrow(b, long) {
-		if b.group != &b.hold.limit.responses || !b.hold.limit.cutSlowest(func(d *delivery) bool { return d.hold.hasLongBody() }) {
-			return false
+// longOf returns the part of n more bytes that lies beyond shortBodyBytes.
+func (b *bodyMemory) longOf(n int64) int64 { return max(0, b.bytes+n-shortBodyBytes) - b.long }
+
+// longBytes returns the bytes beyond shortBodyBytes of the bodies of a group that an owner has
+// sent. An empty owner stands for all.
+func (h *memoryHold) longBytes(group *longBodies, owner string) (n int64) {
+	for _, b := range h.bodies {
+		if b.group == group && (owner == "" || b.owner == owner) {
+			n += b.long
 		}
 	}
-	return true
-}
-
-// hasLongBody reports whether a body of the exchange is longer than shortBodyBytes.
-func (h *memoryHold) hasLongBody() bool {
-	return slices.ContainsFunc(h.bodies, func(b *bodyMemory) bool { return b.long > 0 })
+	return n
 }
 
 // giveBackLocked gives n bytes back.
@@ -262,8 +277,19 @@
 	return l.used
 }
 
-// responseFits reports whether a response of n bytes could be buffered now.
-func (l *memoryLimit) responseFits(n int64) bool {
+// responseFits reports whether a response of the expected size could be buffered beside those
+// that are pending, in bytes. A single one is always admitted: its size is an estimate, and the
+// limit may have been lowered since it was learned.
+func (l *memoryLimit) responseFits(pending, expected int64) bool {
+	if pending == 0 && l.holdsNoLongResponse() {
+		return true
+	}
 	h := &memoryHold{limit: l}
-	return h.newResponseBody("").fits(n)
+	return h.newResponseBody("").fits(pending + expected)
+}
+
+func (l *memoryLimit) holdsNoLongResponse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.responses.bytes == 0
 }
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -46,6 +46,27 @@
 			RetryAfter: time.Duration(pause) * time.Millisecond}
 	}}
 
+// await receives from a channel, and fails the test if nothing arrives within testTimeout.
+func await[T any](t *testing.T, ch <-chan T) (value T) {
+	t.Helper()
+	select {
+	case value = <-ch:
+	case <-time.After(testTimeout):
+		t.Fatal("nothing has arrived")
+	}
+	return value
+}
+
+// awaitTrue waits until a condition holds, and fails the test after testTimeout.
+func awaitTrue(t *testing.T, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the condition does not hold")
+		}
+	}
+}
+
 // target is a server whose responses a test defines.
 type target struct {
 	id       string
@@ -58,6 +79,12 @@
 	health     atomic.Int32 // status of probes
 	// healthBody is the body of the response to a probe.
 	healthBody string
+	// healthHeader holds additional header lines of the response to a probe.
+	healthHeader string
+	// repeatProbes writes the response to a probe once more, before the response to the next
+	// request on the connection. repeated counts these.
+	repeatProbes bool
+	repeated     atomic.Int64
 	// serve answers a request other than a probe, and reports whether the connection
 	// stays open.
 	serve func(t *target, conn net.Conn, r *http.Request, body []byte) bool
@@ -110,6 +137,7 @@
 func (s *target) handle(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
+	var probe *http.Request // the last one on the connection, if its response is to be repeated
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -121,9 +149,17 @@
 		}
 		if r.URL.Path == s.healthPath.Load() && !s.replaced.Load() {
 			s.probes.Add(1)
-			s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string), s.healthBody)
+			s.answerProbe(conn, r)
+			if s.repeatProbes {
+				probe = r
+			}
 			continue
 		}
+		if probe != nil {
+			s.answerProbe(conn, probe)
+			s.repeated.Add(1)
+			probe = nil
+		}
 		s.mu.Lock()
 		s.requests, s.bodies = append(s.requests, r), append(s.bodies, string(body))
 		s.mu.Unlock()
@@ -133,6 +169,10 @@
 	}
 }
 
+func (s *target) answerProbe(conn net.Conn, r *http.Request) {
+	s.respond(conn, int(s.health.Load()), r, "Identity: "+s.id+"\r\nLoad: "+s.load.Load().(string)+s.healthHeader, s.healthBody)
+}
+
 // respond writes a complete response with additional header lines.
 func (s *target) respond(conn net.Conn, status int, r *http.Request, header, body string) {
 	if header != "" {
@@ -181,6 +221,8 @@
 	// failureReports receives the reports for other instances.
 	failureReports chan quarantine.FailureReport
 	urgent         atomic.Bool // whether the last one was urgent
+	// clockAhead is the time in nanoseconds by which the gateway's clock is ahead.
+	clockAhead atomic.Int64
 }
 
 func routes() []catalog.Route {
@@ -217,7 +259,7 @@
 		LocalReportWait: testTimeout, RemoteReportWait: testTimeout, Log: slog.New(slog.DiscardHandler),
 		OnPanic: func(string, any, []byte) { f.panics.Add(1) },
 		Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
-		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) }})
+		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) + time.Duration(f.clockAhead.Load()) }})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.gateway.Run(ctx); close(ended) }()
--- a/node/node.go
+++ b/node/node.go
@@ -57,8 +57,8 @@
 		},
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		Warmup: o.Settings.warmupBounds(), DomainRegions: o.Settings.DomainRegions,
-		MemoryBytes: o.Settings.exchangeBytes(),
-		OnDemand:    n.fleet.ReportDemand, Demand: n.fleet.Demand,
+		MemoryBytes: o.Settings.exchangeBytes(), CallerSendBuffer: o.Settings.sendBufferBytes(),
+		OnDemand: n.fleet.ReportDemand, Demand: n.fleet.Demand,
 		OnFailureReport: n.fleet.ReportFailure, OnPanic: n.panicked, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
@@ -105,7 +105,7 @@
 		return n.resolver.resolve(n.now(), n.fleet.Snapshot(), n.fleet.View().Routes, o, validity), validity
 	}
 	n.servers = []*server{
-		newServer("callers", s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
+		newServer(callersServer, s.Addresses.Callers, n.gateway, n.newConns(), n.options.Log),
 		newServer("resolve", s.Addresses.Resolve, n.options.ResolveHandler(resolve), n.newConns(), n.options.Log),
 		newServer("readiness", s.Addresses.Readiness, n.options.ReadyHandler(n.gateway.Ready), n.newConns(), n.options.Log),
 	}
@@ -114,6 +114,7 @@
 		n.servers = append(n.servers, newServer("metrics", address, n.metrics, n.newConns(), n.options.Log))
 	}
 	for _, server := range n.servers {
+		server.setMemory(s)
 		if err := server.listen(); err != nil {
 			return err
 		}
@@ -123,12 +124,9 @@
 
 // newConns returns the connections of one server.
 func (n *Node) newConns() *callerconn.Conns {
-	conns := callerconn.NewConns(
+	return callerconn.NewConns(
 		func() callerconn.Limits { return connectionLimits(n.fleet.View().Config) },
 		func(limit callerconn.Expiry) { n.metrics.ConnectionExpired(string(limit)) })
-	conns.SetHeaderMemory(n.options.Settings.headerBytes())
-	conns.SetSendBuffer(n.options.Settings.sendBufferBytes())
-	return conns
 }
 
 // viewChanged notifies the gateway of a new view and returns whether the instance is
--- a/node/reload.go
+++ b/node/reload.go
@@ -26,9 +26,9 @@
 	n.gateway.SetProbesPerTarget(s.Bounds.ProbesPerTarget)
 	n.gateway.SetWarmup(s.warmupBounds())
 	n.gateway.SetMemoryBytes(s.exchangeBytes())
+	n.gateway.SetCallerSendBuffer(s.sendBufferBytes())
 	for _, server := range n.servers {
-		server.conns.SetHeaderMemory(s.headerBytes())
-		server.conns.SetSendBuffer(s.sendBufferBytes())
+		server.setMemory(s)
 	}
 	n.options.Log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_allowance", s.Bounds.RetryAllowance,
 		"seeds", len(seeds), "probes_per_target", s.Bounds.ProbesPerTarget, "memory_bytes", s.MemoryBytes)
