fleet: seeds refer instances also when none of their domain is ready yet

Cause: after a loss of all instances, and at the first start, no instance is ready, so the seeds of the other failure domains still sent all records to every instance that asked, besides the broadcast that brings one copy to each domain.

Change: two live instances of the asker's domain suffice for a referral.

Tests of package fleet pass with -race.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -326,7 +326,7 @@
 	if len(changed) == 0 && position.Era == before.Era {
 		return
 	}
-	if before.Revision == 0 && len(t.sources(now, t.options.Domain, t.options.IP)) >= minSources {
+	if before.Revision == 0 && len(t.sources(now, t.options.Domain, t.options.IP, Ready)) >= minSources {
 		t.broadcastPosition = position // the fleet has these records: a broadcast of later ones need not contain them
 	}
 	t.logEra(before, changed)
--- a/fleet/fulllists.go
+++ b/fleet/fulllists.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
@@ -12,8 +13,9 @@
 	// minReferredRecords is the number of records from which an instance without any is
 	// referred to others. Fewer cost little more than the answer that refers it.
 	minReferredRecords = 64
-	// minSources is the number of ready instances in the failure domain of an instance
-	// without records that must be known before it is referred to them.
+	// minSources is the number of other live instances in the failure domain of an instance
+	// without records that must be known before it is referred to them. They have the
+	// records, or get them from the first broadcast to the domain.
 	minSources = 2
 	// fullListsPerSecond is the number of full lists that an instance sends in a second to
 	// instances of its failure domain before it refers others. After a loss of many
@@ -31,7 +33,7 @@
 }
 
 // refer reports whether an instance is referred. near is true if it is in this failure
-// domain, and sources the number of ready instances in its domain.
+// domain, and sources the number of other live instances in its domain.
 func (f *fullLists) refer(now time.Duration, m Member, near bool, sources int) bool {
 	if second := now.Truncate(time.Second); second != f.second {
 		f.second, f.sent = second, 0
@@ -55,14 +57,15 @@
 		return false
 	}
 	m := memberFromMessage(s.GetSelf())
-	return t.fullLists.refer(now, m, m.Domain == t.options.Domain, len(t.sources(now, m.Domain, m.IP)))
+	return t.fullLists.refer(now, m, m.Domain == t.options.Domain, len(t.sources(now, m.Domain, m.IP, 0)))
 }
 
-// sources returns the ready instances of a failure domain, without the instance that asks.
-func (t *Task) sources(now time.Duration, domain int, asks netip.Addr) []*peer {
+// sources returns the live instances of a failure domain that have the flags, without the
+// instance that asks and those that leave.
+func (t *Task) sources(now time.Duration, domain int, asks netip.Addr, flags MemberState) []*peer {
 	var list []*peer
 	for _, p := range t.roster.peers {
-		if p.Domain == domain && p.IP != asks && p.State.Has(Ready) && t.roster.live(now, p) {
+		if p.Domain == domain && p.IP != asks && p.State&flags == flags && !p.State.Has(Leaving) && t.roster.live(now, p) {
 			list = append(list, p)
 		}
 	}
@@ -71,16 +74,20 @@
 
 // requestRecords requests the records of a peer with a later position. An instance without
 // records requests them in its own failure domain, unless a request there is in progress.
+// If it knows of none that is ready there, it waits for the first broadcast to the domain
+// or for its next exchange, which follows with the next tick.
 func (t *Task) requestRecords(now time.Duration, from netip.Addr) {
 	if t.set.Empty() {
-		list := t.sources(now, t.options.Domain, t.options.IP)
-		for _, p := range list {
-			if t.exchanging[p.IP] {
-				return
-			}
+		near := t.sources(now, t.options.Domain, t.options.IP, 0)
+		if slices.ContainsFunc(near, func(p *peer) bool { return t.exchanging[p.IP] }) {
+			return
 		}
-		if len(list) > 0 {
-			from = list[rand.IntN(len(list))].IP
+		ready := t.sources(now, t.options.Domain, t.options.IP, Ready)
+		switch {
+		case len(ready) > 0:
+			from = ready[rand.IntN(len(ready))].IP
+		case len(near) >= minSources:
+			return
 		}
 	}
 	t.contact(now, from, broadcast{})
