--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/transport"
@@ -39,8 +40,9 @@
 	memory           *memoryLimit // of exchanges
 	responseSizes    responseSizes
 	targetBodies     targetBodies
-	connectionLimits sync.Map      // by address, int
-	probes           atomic.Uint64 // sent so far, numbers their IDs
+	connectionLimits sync.Map                       // by address, int
+	applied          atomic.Pointer[catalog.Config] // by the last call of ViewChanged
+	probes           atomic.Uint64                  // sent so far, numbers their IDs
 	inFlight         atomic.Int64
 	crashChecks      atomic.Int64 // in progress
 	// configured is closed when the first configuration arrives.
@@ -92,7 +94,7 @@
 			}
 		}
 	}
-	if view.Config != nil {
+	if view.Config != nil && g.applied.Swap(view.Config) != view.Config {
 		g.scheduler.setServices(view.Config.Services)
 	}
 	g.scheduler.setTargets(view.Targets)
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -306,7 +306,7 @@
 		}
 		choice, ok := s.placer.Choose(now, r, reports, requirement)
 		if !ok {
-			return reservation{heldBackFor: s.placer.HeldBackFor(now, r.Service)}
+			return reservation{heldBackFor: s.placer.HeldBackFor(now, r)}
 		}
 		if !s.takeRetryBudget(now, r, p) {
 			return reservation{}
--- a/placement/advice_test.go
+++ b/placement/advice_test.go
@@ -32,9 +32,9 @@
 			a := newTarget("a", "near")
 			p := newPlacer(a)
 			is.True(p.Advised(2, a.Incarnation(), advice, c.first)) // c.name
-			is.True(p.HeldBackFor(2, service) > 0)                  // c.name
+			is.True(p.HeldBackFor(2, newRequest(2)) > 0)            // c.name
 			is.Equal(p.Advised(4, a.Incarnation(), placement.Advice{}, c.then), c.ends)
-			is.Equal(p.HeldBackFor(4, service) == 0, c.ends) // c.name
+			is.Equal(p.HeldBackFor(4, newRequest(2)) == 0, c.ends) // c.name
 		}
 	}
 }
@@ -61,11 +61,11 @@
 				}
 				is.Equal(p.HasTargets(&catalog.Route{}, service), false)
 				p.SetTargets(away, map[string][]*catalog.Target{service: {a}})
-				is.True(p.HeldBackFor(away, service) > 0)
+				is.True(p.HeldBackFor(away, newRequest(2)) > 0)
 				restarted := *a
 				restarted.StartUnixMS++
 				p.SetTargets(away, map[string][]*catalog.Target{service: {&restarted}})
-				is.Equal(p.HeldBackFor(away, service), time.Duration(0))
+				is.Equal(p.HeldBackFor(away, newRequest(2)), time.Duration(0))
 			})
 		}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -81,10 +81,11 @@
 // HasGoodTarget reports whether one of the reports comes from a target that is
 // good enough to be chosen without probing further targets.
 func (p *Placer) HasGoodTarget(now time.Duration, r *Request, reports []Report) bool {
-	mean := p.workOf(r.Route).mean
+	mean, requirement := p.workOf(r.Route).mean, p.Requirement(now, r)
 	for _, report := range reports {
 		if t := p.targets[report.Target.Incarnation()]; t != nil && t.available(now, p) {
-			if e := p.estimate(now, report, t, mean); e.isGood(now) || p.beatsOtherDomains(now, r, &e) {
+			e := p.estimate(now, report, t, mean)
+			if e.isGood(now) && e.satisfies(now, r, requirement, false) || p.beatsOtherDomains(now, r, &e) {
 				return true
 			}
 		}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -119,7 +119,7 @@
 		return "did not answer"
 	case !t.limit.available(now, t.Target, p.share):
 		return fmt.Sprintf("limits its requests to %g a second, and this instance has no share left", t.limit.terms.perSecond)
-	case t.warmup.cold(now) && t.warmup.current(now) == toldCold:
+	case t.warmup.cold(now) && t.warmup.current(now) == stateCold:
 		return "is cold, and gets requests by shares only"
 	case t.warmup.cold(now):
 		return "may be cold: asked first"
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -126,9 +126,12 @@
 
 // HeldBackFor returns the time for which no target of the service wants a request of this
 // instance, 0 if there is one that does. It is the largest Duration if that is not known.
-func (p *Placer) HeldBackFor(now time.Duration, service string) time.Duration {
+func (p *Placer) HeldBackFor(now time.Duration, r *Request) time.Duration {
 	wait := time.Duration(math.MaxInt64)
-	for _, t := range p.services[service] {
+	for _, t := range p.services[r.Service] {
+		if !p.mayHandle(r.Route, t) {
+			continue
+		}
 		if t.available(now, p) {
 			return 0
 		}
--- a/placement/ratelimit_test.go
+++ b/placement/ratelimit_test.go
@@ -152,13 +152,13 @@
 	is := is.New(t)
 	a, b := newTarget("a", "near"), newTarget("b", "near")
 	p := newPlacer(a, b)
-	is.Equal(p.HeldBackFor(0, service), time.Duration(0))
+	is.Equal(p.HeldBackFor(0, newRequest(2)), time.Duration(0))
 	p.Advised(0, a.Incarnation(), placement.Advice{Limited: true, PerSecond: 0.5}, placement.Exchange{})
-	is.Equal(p.HeldBackFor(0, service), time.Duration(0)) // b has no limit
+	is.Equal(p.HeldBackFor(0, newRequest(2)), time.Duration(0)) // b has no limit
 	p.Advised(0, b.Incarnation(), placement.Advice{Limited: true}, placement.Exchange{})
-	is.True(p.HeldBackFor(0, service) > 0)
-	is.True(p.HeldBackFor(0, service) <= 2*time.Second)
-	is.Equal(p.HeldBackFor(2*time.Second, service), time.Duration(0))
+	is.True(p.HeldBackFor(0, newRequest(2)) > 0)
+	is.True(p.HeldBackFor(0, newRequest(2)) <= 2*time.Second)
+	is.Equal(p.HeldBackFor(2*time.Second, newRequest(2)), time.Duration(0))
 	p.SetShares(func(*catalog.Target, int) (bool, int) { return false, 20 })
-	is.Equal(p.HeldBackFor(3*time.Second, service), time.Duration(math.MaxInt64)) // other instances share the limits
+	is.Equal(p.HeldBackFor(3*time.Second, newRequest(2)), time.Duration(math.MaxInt64)) // other instances share the limits
 }
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -85,12 +85,12 @@
 	var suspended []*target
 	cold := 0
 	for _, t := range p.services[r.Service] {
-		if len(responsive)+cold == size {
-			break
+		if len(responsive)+cold >= size && len(responsive) >= min(size, localSample) {
+			break // a subset of cold targets only would leave no choice
 		}
 		switch {
 		case !fits(t):
-		case !t.available(now, p) && !t.unasked(now, p) && !t.recheckDue(now):
+		case !t.available(now, p) && !t.awaitsWarmupAnswer(now, p) && !t.recheckDue(now):
 			if t.warmup.cold(now) {
 				cold++ // it keeps its place: others would cost a connection for a few seconds
 			}
--- a/placement/settargets.go
+++ b/placement/settargets.go
@@ -25,7 +25,7 @@
 	for _, list := range removed {
 		for _, registered := range list {
 			if t := p.targets[registered.Incarnation()]; t != nil {
-				t.goneIn = p.generation
+				t.removedIn = p.generation
 				delete(p.targets, registered.Incarnation())
 				p.absent.add(now, t)
 			}
@@ -65,13 +65,16 @@
 		id := registered.Incarnation()
 		t := p.targets[id]
 		if t == nil {
-			if t = p.absent.take(id); t != nil && t.goneIn != p.generation {
+			if t = p.absent.take(id); t != nil && t.removedIn != p.generation {
 				t.warmup.mayHaveBecomeCold(now) // it was away since an earlier call
 			}
 		}
 		if t == nil {
 			t = &target{warmUntil: now + registered.WarmupLeft, order: p.order(id.ID)}
 		}
+		if registered.WarmupLeft > 0 && t.warmup.current(now) == stateWarm {
+			t.warmup.mayHaveBecomeCold(now)
+		}
 		t.Target, t.warmup.terms = registered, p.warmupTerms[name]
 		p.targets[id] = t
 		entering = append(entering, t)
@@ -80,7 +83,7 @@
 	before := p.services[name]
 	list := make([]*target, 0, len(before)+len(entering))
 	for _, t := range before {
-		if t.goneIn == p.generation {
+		if t.removedIn == p.generation {
 			continue
 		}
 		for len(entering) > 0 && byOrder(entering[0], t) < 0 {
--- a/placement/target.go
+++ b/placement/target.go
@@ -33,7 +33,7 @@
 type target struct {
 	*catalog.Target
 	order      uint64 // see Placer.order
-	goneIn     uint64 // value of Placer.generation when it was last removed from a list
+	removedIn  uint64 // value of Placer.generation when it was last removed from a list
 	lastReport Report
 	// probeSent is when the last probe was sent.
 	probeSent time.Duration
--- a/placement/warmup.go
+++ b/placement/warmup.go
@@ -47,23 +47,23 @@
 	return shareTerms{perSecond: rate, owners: owners, settle: settleTime}
 }
 
-// temperature is what the last answer to a probe says of a target.
-type temperature int
+// warmupState is what the last answer to a probe says of a target.
+type warmupState int
 
 const (
-	untold temperature = iota // no answer since the target may have become cold
-	toldCold
-	toldWarm
+	stateUnknown warmupState = iota // no answer since the target may have become cold
+	stateCold
+	stateWarm
 )
 
 // warmup is the warm-up of a target as this instance knows it, and its share of the requests
 // that the target gets meanwhile.
 type warmup struct {
 	share // terms.perSecond is 0 if the service sets no limit
-	told  temperature
-	// until is when the answer ceases to count, and untoldAt when the target may last have
+	state warmupState
+	// until is when the answer ceases to count, and mayBeColdSince when the target may last have
 	// become cold without telling.
-	until, untoldAt time.Duration
+	until, mayBeColdSince time.Duration
 	// owned is whether this instance is an owner, as of ownedAt, which is 0 before the first
 	// look. It is kept also while the target is warm.
 	owned   bool
@@ -74,34 +74,34 @@
 func (w *warmup) limited() bool { return w.terms.perSecond > 0 }
 
 // current returns what is known of the target now.
-func (w *warmup) current(now time.Duration) temperature {
+func (w *warmup) current(now time.Duration) warmupState {
 	if now >= w.until {
-		return untold
+		return stateUnknown
 	}
-	return w.told
+	return w.state
 }
 
 // answered records an answer to a probe that was sent at the time sent: how much longer the
 // target is cold, 0 if it is warm. It reports whether the target changed between warm and
 // cold; the first answer that says that it is warm is no change.
 func (w *warmup) answered(now, sent, left time.Duration) (changed bool) {
-	before := w.told
+	before := w.state
 	switch {
-	case left > 0:
-		w.told, w.until = toldCold, now+min(left, coldValidity)
-	case sent < w.untoldAt:
+	case left > 0: // ends answers to probes that were sent earlier and arrive later
+		w.state, w.until, w.mayBeColdSince = stateCold, now+min(left, coldValidity), max(w.mayBeColdSince, sent)
+	case sent < w.mayBeColdSince:
 		return false
 	default:
-		w.told, w.until = toldWarm, sent+warmValidity
+		w.state, w.until = stateWarm, sent+warmValidity
 	}
-	return w.limited() && w.told != before && (w.told == toldCold || before == toldCold)
+	return w.limited() && w.state != before && (w.state == stateCold || before == stateCold)
 }
 
 // mayHaveBecomeCold ends the validity of the answers so far.
-func (w *warmup) mayHaveBecomeCold(now time.Duration) { w.until, w.untoldAt = 0, now }
+func (w *warmup) mayHaveBecomeCold(now time.Duration) { w.until, w.mayBeColdSince = 0, now }
 
 // cold reports whether a request now is sent to a target that is cold or may be.
-func (w *warmup) cold(now time.Duration) bool { return w.limited() && w.current(now) != toldWarm }
+func (w *warmup) cold(now time.Duration) bool { return w.limited() && w.current(now) != stateWarm }
 
 // available reports whether the target may get a request of this instance. settled is false
 // while this instance may not know the others.
@@ -122,16 +122,16 @@
 // wait returns the time until the target may get a request. It follows a call of available
 // that returned false.
 func (w *warmup) wait(now time.Duration) time.Duration {
-	if w.current(now) == untold {
+	if w.current(now) == stateUnknown {
 		return 0 // the answer to a probe may say that it is warm
 	}
 	return min(w.share.wait(), w.until-now)
 }
 
-// unasked reports whether the target wants requests of this instance, and only the answer to
+// awaitsWarmupAnswer reports whether the target wants requests of this instance, and only the answer to
 // a probe is missing that says that it is warm.
-func (t *target) unasked(now time.Duration, p *Placer) bool {
-	return t.warmup.limited() && t.warmup.current(now) == untold && !t.leaving.now && now >= t.pausedUntil &&
+func (t *target) awaitsWarmupAnswer(now time.Duration, p *Placer) bool {
+	return t.warmup.limited() && t.warmup.current(now) == stateUnknown && !t.leaving.now && now >= t.pausedUntil &&
 		t.limit.available(now, t.Target, p.share)
 }
 
@@ -147,7 +147,8 @@
 func (p *Placer) SetWarmup(bounds WarmupBounds, services map[string]catalog.Service) {
 	p.warmupTerms = make(map[string]shareTerms)
 	for name, s := range services {
-		if s.WarmupRate > 0 && !math.IsInf(s.WarmupRate, 1) {
+		// Without a path for probes no target could ever say that it is warm.
+		if s.WarmupRate > 0 && !math.IsInf(s.WarmupRate, 1) && s.HealthPath != "" {
 			p.warmupTerms[name] = bounds.terms(s.WarmupRate)
 		}
 	}
@@ -200,8 +201,8 @@
 		if now < t.suspendedUntil || !match(t) {
 			continue
 		}
-		recheck := t.unasked(now, p) && (t.warmup.until == 0 || now-t.warmup.until >= ownedRecheck)
-		if recheck || t.warmup.current(now) == toldCold && t.available(now, p) {
+		recheck := t.awaitsWarmupAnswer(now, p) && (t.warmup.until == 0 || now-t.warmup.until >= ownedRecheck)
+		if recheck || t.warmup.current(now) == stateCold && t.available(now, p) {
 			return t
 		}
 	}
--- a/placement/warmup_test.go
+++ b/placement/warmup_test.go
@@ -15,7 +15,7 @@
 // newWarmupPlacer returns a placer for a service that limits the requests of cold targets.
 func newWarmupPlacer(bounds placement.WarmupBounds, perSecond float64, targets ...*catalog.Target) *placement.Placer {
 	p := newPlacer(targets...)
-	p.SetWarmup(bounds, map[string]catalog.Service{service: {Name: service, WarmupRate: perSecond}})
+	p.SetWarmup(bounds, map[string]catalog.Service{service: {Name: service, HealthPath: "/health", WarmupRate: perSecond}})
 	return p
 }
 
@@ -57,6 +57,13 @@
 		{"warm, then silent, then answers a probe from before", []func(*placement.Placer){probed(placement.ProbeSilent),
 			func(p *placement.Placer) { p.WarmupAnswered(at, at-1, a.Incarnation(), 0) }}, 500 * time.Millisecond, false, true},
 		{"warm, then its entry went and came back", []func(*placement.Placer){answer(0), entryAway, entryBack}, 0, false, true},
+		{"cold, then a late answer to an earlier probe", []func(*placement.Placer){answer(3 * time.Second),
+			func(p *placement.Placer) { p.WarmupAnswered(at, at-1, a.Incarnation(), 0) }}, 0, false, false},
+		{"warm, then its entry says that it is cold", []func(*placement.Placer){answer(0), func(p *placement.Placer) {
+			cold := *a
+			cold.WarmupLeft = 5 * time.Second
+			p.SetTargets(at, map[string][]*catalog.Target{service: {&cold}})
+		}}, 0, false, true},
 		{"asks for a pause", []func(*placement.Placer){advised(placement.Advice{RetryAfter: time.Minute})}, time.Second, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -69,7 +76,7 @@
 			now := at + c.after
 			r := &placement.Request{Route: &catalog.Route{Name: "r", Objective: objective}, Service: service, Arrived: now, Deadline: now + time.Minute}
 			sample, _ := p.Sample(now, r, false, false)
-			is.Equal(slices.Contains(sample, a), c.asked)
+			is.Equal(slices.ContainsFunc(sample, func(t *catalog.Target) bool { return t.ID == a.ID }), c.asked)
 			_, used := p.Choose(now, r, []placement.Report{report(a, 0, 0, 1)}, placement.RequireDeadline)
 			is.Equal(used, c.used)
 			p.SetWarmup(placement.WarmupBounds{}, nil) // the service sets no limit any more
@@ -91,7 +98,7 @@
 			p.WarmupAnswered(0, 0, a.Incarnation(), time.Hour)
 			var sends []time.Duration
 			for now := time.Duration(0); now < 4*time.Second; now += time.Millisecond {
-				if p.HeldBackFor(now, service) == 0 {
+				if p.HeldBackFor(now, newRequest(2)) == 0 {
 					p.Sent(now, a.Incarnation())
 					sends = append(sends, now)
 				}
