--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -157,6 +157,7 @@
 	conn, err := t.clients.get(ip)
 	if err != nil {
 		t.options.Log.Error("cannot create gRPC client for peer", "peer", ip.String(), "error", err.Error())
+		t.endQuestions(b.suspects)
 		return
 	}
 	known := b.changesAfter
@@ -208,10 +209,12 @@
 		if pending != nil {
 			b.merge(*pending)
 		}
+		t.endQuestions(b.suspects)
 		t.judgeAgain(now, b.suspects)
 		t.forward(now, b, treeFanout) // the peer does not forward it
 		return
 	}
+	t.endQuestions(b.suspects)
 	t.merge(now, answer)
 	if pending != nil {
 		t.contact(now, ip, *pending)
@@ -248,25 +251,39 @@
 }
 
 // askWitnesses asks instances of third failure domains whether a member that does not answer
-// here is down.
+// here is down. While some are being asked, no others are: an instance that reaches nobody
+// would ask twice as many with each failure.
 func (t *Task) askWitnesses(now time.Duration, ip netip.Addr) {
 	p := t.roster.peers[ip]
-	if p == nil {
+	if p == nil || p.openQuestions > 0 {
 		return
 	}
 	for _, witness := range t.roster.witnessesOf(now, p) {
+		p.openQuestions++
 		t.contact(now, witness, broadcast{suspects: []netip.Addr{ip}})
 	}
 }
 
+// endQuestions records that a witness was asked about members, or could not be.
+func (t *Task) endQuestions(suspects []netip.Addr) {
+	for _, ip := range suspects {
+		if p := t.roster.peers[ip]; p != nil && p.openQuestions > 0 {
+			p.openQuestions--
+		}
+	}
+}
+
 // judgeAgain handles the failure of a witness: others are asked about the members that do not
 // answer here. If there are none, these members count as down.
 func (t *Task) judgeAgain(now time.Duration, suspects []netip.Addr) {
 	for _, ip := range suspects {
-		if p := t.roster.peers[ip]; p != nil && p.failures >= downAfter && len(t.roster.witnessesOf(now, p)) == 0 {
+		p := t.roster.peers[ip]
+		switch {
+		case p == nil || p.failures == 0 || p.State.Has(Down):
+		case p.failures >= downAfter && len(t.roster.witnessesOf(now, p)) == 0:
 			t.roster.markDown(now, p)
 			t.scheduleBroadcast(scopeFew)
-		} else if p != nil && p.failures > 0 {
+		default:
 			t.askWitnesses(now, ip)
 		}
 	}
@@ -339,6 +356,10 @@
 			t.contact(now, member.IP, broadcast{})
 		}
 	}
+	if t.roster.confirmedDown {
+		t.roster.confirmedDown = false
+		t.scheduleBroadcast(scopeFew)
+	}
 	if t.roster.declaredDown {
 		t.roster.declaredDown = false
 		t.options.Log.Warn("reported down by peers, refuting", "said_by", sender.IP.String())
--- a/fleet/fulllists.go
+++ b/fleet/fulllists.go
@@ -21,6 +21,9 @@
 	// instances of its failure domain before it refers others. After a loss of many
 	// instances all that start ask the same seeds.
 	fullListsPerSecond = 4
+	// maxReferred bounds the instances that are remembered as referred. When it is reached,
+	// all are forgotten, and some may be referred once more.
+	maxReferred = 4096
 )
 
 // fullLists decides which instances without records get all of them from this one. The
@@ -40,10 +43,12 @@
 	}
 	incarnation, again := f.referred[m.IP]
 	if sources < minSources || again && incarnation == m.Incarnation || near && f.sent < fullListsPerSecond {
-		f.sent++
+		if near {
+			f.sent++
+		}
 		return false
 	}
-	if f.referred == nil {
+	if f.referred == nil || len(f.referred) >= maxReferred {
 		f.referred = make(map[netip.Addr]uint32)
 	}
 	f.referred[m.IP] = m.Incarnation
@@ -74,10 +79,12 @@
 
 // requestRecords requests the records of a peer with a later position. An instance without
 // records requests them in its own failure domain, unless a request there is in progress.
-// If it knows of none that is ready there, it waits for the first broadcast to the domain
-// or for its next exchange, which follows with the next tick.
+// If it knows of none that is ready there, it waits for the first broadcast to the domain.
+// If it still has none with the next tick, it comes back to the peer, which then sends them:
+// those of its domain may have lost theirs at the same time.
 func (t *Task) requestRecords(now time.Duration, from netip.Addr) {
 	if t.set.Empty() {
+		t.referrer = from
 		near := t.sources(now, t.options.Domain, t.options.IP, 0)
 		if slices.ContainsFunc(near, func(p *peer) bool { return t.exchanging[p.IP] }) {
 			return
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -95,6 +95,8 @@
 	transmissions int
 	// reports compares the failure reports of the peer with those of this instance.
 	reports reportSync
+	// openQuestions counts the witnesses that are being asked whether the member is down.
+	openQuestions int
 	// previousIncarnation is the incarnation before the current one.
 	previousIncarnation uint32
 }
