--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -63,6 +63,7 @@
 	{"targets that ask for a pause get one", true, (*evidence).sendsInPauses},
 	{"a target's limit is kept", true, (*evidence).sendsOverLimits},
 	{"targets that leave get no more requests", true, (*evidence).executionsAfterDrain},
+	{"cold targets get no more requests than they tolerate", true, (*evidence).sendsToColdTargets},
 	{"evacuated failure domains get no more requests", true, (*evidence).sendsToEvacuatedDomains},
 	{"a configuration is in force in time", true, (*evidence).outdatedRoutes},
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -88,6 +88,14 @@
 				addLater(rec, req, r, recoveryTime+time.Duration(i+1)*100*time.Millisecond)
 			}
 		}},
+		{"cold targets get no more requests than they tolerate", func(rec *recorder, req *request, r *arrival) {
+			req.idempotent = true
+			for n := range 15 {
+				cold := *r
+				cold.cold, cold.arrivedAt = true, r.arrivedAt+time.Duration(n)*time.Millisecond
+				rec.arrivals = append(rec.arrivals, &cold)
+			}
+		}},
 		{"evacuated failure domains get no more requests", func(rec *recorder, _ *request, r *arrival) {
 			r.domain = "b"
 			rec.evacuations = append(rec.evacuations, evacuation{domain: "b", from: r.arrivedAt - evacuationLimit - time.Millisecond, to: r.arrivedAt + time.Second})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -75,6 +75,7 @@
 		backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
 		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{} })
 	}},
+	{"domain returns cold", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.returnCold(ctx, r) }},
 	{"target answers without end", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		t := f.anyTarget(r)
 		t.update(func(_ *catalog.Target, now *behaviour) { *now = behaviour{endless: 0.2 + 0.8*r.Float64()} })
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -70,7 +70,8 @@
 	}
 	f.config = catalog.Config{Version: 1, Services: make(map[string]catalog.Service)}
 	for _, name := range services {
-		f.config.Services[name] = catalog.Service{Name: name, HealthPath: healthPaths[name], MaxConnections: 1000}
+		f.config.Services[name] = catalog.Service{Name: name, HealthPath: healthPaths[name], MaxConnections: 1000,
+			Warmup: warmupTime, WarmupRate: warmupRate}
 	}
 	for number, r := range routes {
 		f.config.Routes = append(f.config.Routes, catalog.Route{Name: r.name, Host: host, Prefix: "/" + r.name + "/",
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -55,7 +55,8 @@
 				Resolve:   n.address(instanceSubnet, number, resolvePort),
 				Readiness: n.address(instanceSubnet, number, readinessPort), Peers: n.address(instanceSubnet, number, peerPort)},
 			Bounds: node.Bounds{ShutdownTimeout: stopTimeout, ResolveValidity: resolveValidity, RetryRatio: retryRatio,
-				RetryWindow: retryWindow, RetryAllowance: retryAllowance, ProbesPerTarget: probesPerTarget}}}
+				RetryWindow: retryWindow, RetryAllowance: retryAllowance, ProbesPerTarget: probesPerTarget,
+				WarmupOverage: warmupOverage, WarmupAllowance: warmupAllowance}}}
 	return i, i.writeSettings()
 }
 
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -28,6 +28,7 @@
 	id, method, path, body string
 	target, service        string
 	domain                 string // of the target
+	cold                   bool   // the target was cold
 	arrivedAt              time.Duration
 	// remaining is the forwarded deadline as time left, or -1 without one.
 	remaining time.Duration
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -63,6 +63,8 @@
 	slowdown float64
 	// pause is the time without requests for which rejections ask; 0: none.
 	pause time.Duration
+	// coldUntil is when a target that came back cold is warm, since the start of the fleet.
+	coldUntil time.Duration
 }
 
 // target is a fake target behind a proxy. It is safe for concurrent use.
@@ -137,6 +139,10 @@
 	if !isProbe || !hide {
 		platformtest.SetAdvice(w.Header(), placement.Advice{Leaving: said.leaving, PerSecond: said.perSecond, Limited: said.perSecond > 0})
 	}
+	cold := b.coldUntil - t.now()
+	if isProbe && cold > 0 {
+		platformtest.SetWarmup(w.Header(), cold)
+	}
 	expected := r.Header.Get(t.dialect.ExpectedTarget)
 	if isProbe && (expected == "" || expected == entry.ID) {
 		w.Header().Set(t.dialect.TargetID, entry.ID)
@@ -151,7 +157,7 @@
 	if ms, err := strconv.Atoi(r.Header.Get(t.dialect.Deadline)); err == nil {
 		arrival.remaining = time.Duration(ms) * time.Millisecond
 	}
-	arrival.said = said
+	arrival.said, arrival.cold = said, cold > 0
 	draw := rand.Float64()
 	taken := func(share float64) bool { draw -= share; return draw < 0 }
 	switch {
