--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -277,13 +277,10 @@
 // answer here. If there are none, these members count as down.
 func (t *Task) judgeAgain(now time.Duration, suspects []netip.Addr) {
 	for _, ip := range suspects {
-		p := t.roster.peers[ip]
-		switch {
-		case p == nil || p.failures == 0 || p.State.Has(Down):
-		case p.failures >= downAfter && len(t.roster.witnessesOf(now, p)) == 0:
+		if p := t.roster.peers[ip]; p != nil && p.failures >= downAfter && len(t.roster.witnessesOf(now, p)) == 0 {
 			t.roster.markDown(now, p)
 			t.scheduleBroadcast(scopeFew)
-		default:
+		} else if p != nil && p.failures > 0 {
 			t.askWitnesses(now, ip)
 		}
 	}
@@ -356,10 +353,6 @@
 			t.contact(now, member.IP, broadcast{})
 		}
 	}
-	if t.roster.confirmedDown {
-		t.roster.confirmedDown = false
-		t.scheduleBroadcast(scopeFew)
-	}
 	if t.roster.declaredDown {
 		t.roster.declaredDown = false
 		t.options.Log.Warn("reported down by peers, refuting", "said_by", sender.IP.String())
@@ -405,7 +398,7 @@
 	if len(changed) == 0 && position.Era == before.Era {
 		return
 	}
-	if before.Revision == 0 && len(t.sources(now, t.options.Domain, t.options.IP, Ready)) >= minSources {
+	if before.Revision == 0 && len(t.sources(now, t.options.Domain, t.options.IP)) >= minSources {
 		t.broadcastPosition = position // the fleet has these records: a broadcast of later ones need not contain them
 	}
 	t.logEra(before, changed)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -80,10 +80,7 @@
 	// declaredDown is set when others report this instance as down, until the task has
 	// scheduled the refutation.
 	declaredDown bool
-	// confirmedDown is set when the report of another failure domain has made a member
-	// down, until the task has scheduled a broadcast.
-	confirmedDown bool
-	peers         map[netip.Addr]*peer
+	peers        map[netip.Addr]*peer
 	// lastContact is when a peer last answered or called, reachedSince when that began after
 	// a time without any.
 	lastContact, reachedSince time.Duration
@@ -187,7 +184,6 @@
 func (r *roster) suspect(now time.Duration, p *peer) (probe bool) {
 	p.suspectedUntil = now + suspicionValidity
 	if p.failures >= downAfter {
-		r.confirmedDown = r.confirmedDown || !p.State.Has(Down)
 		r.markDown(now, p)
 		return false
 	}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -81,7 +81,6 @@
 	publishedDemand    atomic.Pointer[[]shortage.Entry]
 	demandQueued       atomic.Bool // figures of ReportDemand wait to be added to demand
 	fullLists          fullLists
-	referrer           netip.Addr   // peer with records that this instance has not got, if it has none
 	queuedReports      atomic.Int64 // calls of ReportFailure whose report is not yet in failureReports
 }
 
@@ -167,10 +166,6 @@
 		t.publishView(now)
 	}
 	t.updateReader(now)
-	if t.referrer.IsValid() && t.set.Empty() {
-		t.contact(now, t.referrer, broadcast{})
-	}
-	t.referrer = netip.Addr{}
 	for _, ip := range t.roster.dueProbes(now) {
 		t.contact(now, ip, broadcast{})
 	}
