--- a/fleet/cold_targets_test.go
+++ b/fleet/cold_targets_test.go
@@ -114,7 +114,7 @@
 	p.SetShares(p.share)
 	p.SetSettled(func(now time.Duration) bool { return started == 0 || now >= started+2*time.Second })
 	p.SetFleet(started, coldInstances, 42)
-	p.SetWarmup(placement.WarmupBounds{Overage: 1.5, Allowance: 8}, map[string]catalog.Service{"s": {Name: "s", WarmupRate: coldRate}})
+	p.SetWarmup(placement.WarmupBounds{Overage: 1.5, Allowance: 8}, map[string]catalog.Service{"s": {Name: "s", HealthPath: "/health", WarmupRate: coldRate}})
 	list := make([]*catalog.Target, 0, len(f.targets))
 	for _, t := range f.targets {
 		list = append(list, t.Target)
