Use one piece of code in place of the twins from the read-through

- catalog and placement each merged sorted lists of targets; both now call sortedmerge.Update.
- choosing and explaining each computed an estimate with the preference for near targets; both now call placement.estimateFor.
- probes and the wait queue each kept a decaying count; both now use decayingCount.
- the ledger of a shortage had Answer beside answer.
- fleet joined two conditions on the first failure, and the waiting loop of gateway's selection slept in two places.

--- a/catalog/targetlists.go
+++ b/catalog/targetlists.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/dogwoodroute/dogwoodroute/internal/sortedmerge"
 )
 
 // targetLists holds the targets that accept new requests, by service, for views. It applies
@@ -72,18 +74,8 @@
 func (l *targetLists) replace(lists map[string][]*Target, service string, removed map[*Target]bool, added []*Target) {
 	compare := func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) }
 	slices.SortFunc(added, compare)
-	before := lists[service]
-	list := make([]*Target, 0, len(before)+len(added))
-	for _, t := range before {
-		if removed[t] {
-			continue
-		}
-		for len(added) > 0 && compare(added[0], t) < 0 {
-			list, added = append(list, added[0]), added[1:]
-		}
-		list = append(list, t)
-	}
-	if list = append(list, added...); len(list) == 0 {
+	list := sortedmerge.Update(lists[service], func(t *Target) bool { return removed[t] }, added, compare)
+	if len(list) == 0 {
 		delete(lists, service)
 		return
 	}
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -99,7 +99,7 @@
 	received := s.GetDemand()
 	list := make([]shortage.Entry, 0, min(len(received), shortage.MaxServices))
 	for _, m := range received[:min(len(received), shortage.MaxServices)] {
-		if e := demandFromMessage(now, m); len(e.Service) <= maxServiceName && e.Sums.Valid() {
+		if e := demandEntryFromMessage(now, m); len(e.Service) <= maxServiceName && e.Sums.Valid() {
 			list = append(list, e)
 		}
 	}
@@ -109,7 +109,7 @@
 	return list
 }
 
-func demandFromMessage(now time.Duration, m *peerapi.FleetDemand) shortage.Entry {
+func demandEntryFromMessage(now time.Duration, m *peerapi.FleetDemand) shortage.Entry {
 	e := shortage.Entry{Service: m.GetService(), At: now, Sums: shortage.Sums{Started: float64(m.GetStarted()), Refused: float64(m.GetRefused()),
 		Room: float64(m.GetRoom()), Used: float64(m.GetUsed())}}
 	for _, r := range m.GetRoutes() {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -239,8 +239,6 @@
 	}
 	if failures == 1 {
 		t.options.Log.Warn("peer does not answer, retrying", "peer", ip.String(), "error", err.Error())
-	}
-	if failures == 1 {
 		t.askWitnesses(now, ip)
 	}
 	if failures < downAfter {
@@ -333,10 +331,7 @@
 	sender := memberFromMessage(s.GetSelf())
 	previous := t.roster.peers[sender.IP]
 	isNew = previous == nil || previous.Incarnation != sender.Incarnation
-	var stateBefore MemberState
-	if previous != nil {
-		stateBefore = previous.State
-	}
+	wasReading := previous != nil && previous.State.Has(Reading)
 	if previous != nil && previous.failures > 0 {
 		t.options.Log.Info("peer answers again", "peer", sender.IP.String())
 		defer t.probeDomain(now, previous.Domain)
@@ -345,7 +340,7 @@
 	if p := t.roster.peers[sender.IP]; p != nil {
 		p.position = t.positionFromMessage(s)
 	}
-	if stateBefore.Has(Reading) && !sender.State.Has(Reading) {
+	if wasReading && !sender.State.Has(Reading) {
 		t.updateReader(now) // this instance may be the next reader
 	}
 	for _, m := range s.GetMembers() {
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -24,7 +24,7 @@
 	calls    map[string]int // number of calls by reader
 	refused  map[string]bool
 	ignored  map[string]bool // gets no answers
-	silent   bool            // watches hear nothing, and those that wait then never answer
+	silent   bool            // watches return no changes, and those that wait then never return
 	dropped  uint64          // history up to this revision is gone
 	// delay is how long the store takes for each answer. refuseAll is true if it refuses all.
 	delay     time.Duration
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -175,11 +175,13 @@
 	return newRefusal(outcomeStopped, defaultRetryAfter)
 }
 
-// callerAddress returns the IP address of the caller.
-func (x *exchange) callerAddress() string {
-	host, _, err := net.SplitHostPort(x.caller.RemoteAddr)
+func (x *exchange) callerAddress() string { return CallerAddress(x.caller) }
+
+// CallerAddress returns the IP address from which a request came.
+func CallerAddress(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		return x.caller.RemoteAddr // without a port the address is the same for each request
+		return r.RemoteAddr // without a port the address is the same for each request
 	}
 	return host
 }
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -83,14 +83,12 @@
 			return noRoom
 		}
 		inTime := max(pause, reserved.heldBackFor) <= r.Arrived+maxWait-g.options.Now()
-		if waiting && inTime {
-			backoff.Sleep(ctx, pause)
-			continue
-		}
-		if waits, err := g.scheduler.waitOrRefuse(ctx, r, inTime); err != nil || !waits {
-			return noRoom
+		if !waiting || !inTime {
+			if waits, err := g.scheduler.waitOrRefuse(ctx, r, inTime); err != nil || !waits {
+				return noRoom
+			}
+			waiting = true
 		}
-		waiting = true
 		backoff.Sleep(ctx, pause)
 	}
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -146,10 +146,7 @@
 		if t == nil || !t.available(now, p) {
 			continue // removed since the report, or it wants no request
 		}
-		e := p.estimate(now, report, t, w.mean)
-		if t.FailureDomain != p.domain {
-			e.nearPreference = w.nearPreference(r.spare(now, e.duration))
-		}
+		e := p.estimateFor(now, r, report, t, w)
 		if e.satisfies(now, r, requirement, above) && (!found || e.cost(now) < best.cost(now)) {
 			best, found = e, true
 		}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -52,6 +52,16 @@
 	return e
 }
 
+// estimateFor returns the estimate for a request whose route has the work w, with the
+// preference for targets of this failure domain.
+func (p *Placer) estimateFor(now time.Duration, r *Request, report Report, t *target, w *routeWork) estimate {
+	e := p.estimate(now, report, t, w.mean)
+	if t.FailureDomain != p.domain {
+		e.nearPreference = w.nearPreference(r.spare(now, e.duration))
+	}
+	return e
+}
+
 // occupiedShare returns the part of the target's slots that are in use, up to 1.
 func (e *estimate) occupiedShare() float64 {
 	return min(1, float64(e.occupied)/float64(e.slots))
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -94,10 +94,7 @@
 	if !fresh {
 		report = p.predict(now, t, w.mean)
 	}
-	e := p.estimate(now, report, t, w.mean)
-	if t.FailureDomain != p.domain {
-		e.nearPreference = w.nearPreference(r.spare(now, e.duration))
-	}
+	e := p.estimateFor(now, r, report, t, w)
 	c.Load, c.Expected, c.Cost = report.Load, e.duration, e.cost(now)
 	if c.Reason = p.unwilling(now, r, t); c.Reason == "" && !e.satisfies(now, r, requirement, above) {
 		c.Reason = e.unsatisfied(now, r, requirement, above)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -32,7 +32,7 @@
 	queues      map[string]*waitQueue      // by service
 	probes      probeBudget
 	roundTrips  roundTrips // of probes
-	probeCounts map[subsetKey]*probeCount
+	probeCounts map[subsetKey]*decayingCount
 	share       ShareFunc
 	demand      demand
 	regions     map[string]string // by failure domain
@@ -47,7 +47,7 @@
 	return &Placer{domain: domain, instances: 1, random: random, seed: random.Uint64(), targets: make(map[catalog.Incarnation]*target),
 		services: make(map[string][]*target), hasLocal: make(map[string]bool), routeWork: make(map[string]*routeWork),
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
-		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), probeCounts: make(map[subsetKey]*probeCount),
+		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), probeCounts: make(map[subsetKey]*decayingCount),
 		share:   func(*catalog.Target, int) (bool, int) { return true, 1 },
 		settled: func(time.Duration) bool { return true }, owned: make(map[string]*ownedTargets)}
 }
--- a/placement/settargets.go
+++ b/placement/settargets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/sortedmerge"
 )
 
 // SetTargets replaces the targets that accept new requests, by service. The state of
@@ -80,18 +81,7 @@
 		entering = append(entering, t)
 	}
 	slices.SortFunc(entering, byOrder)
-	before := p.services[name]
-	list := make([]*target, 0, len(before)+len(entering))
-	for _, t := range before {
-		if t.removedIn == p.generation {
-			continue
-		}
-		for len(entering) > 0 && byOrder(entering[0], t) < 0 {
-			list, entering = append(list, entering[0]), entering[1:]
-		}
-		list = append(list, t)
-	}
-	list = append(list, entering...)
+	list := sortedmerge.Update(p.services[name], func(t *target) bool { return t.removedIn == p.generation }, entering, byOrder)
 	delete(p.owned, name)
 	if len(list) == 0 {
 		delete(p.services, name)
--- a/placement/subset.go
+++ b/placement/subset.go
@@ -32,29 +32,15 @@
 	remote  bool
 }
 
-// probeCount counts probes, with decay.
-type probeCount struct {
-	count float64
-	at    time.Duration
-}
-
-func (c *probeCount) add(now time.Duration, n int) {
-	c.count, c.at = c.recent(now)+float64(n), now
-}
-
-func (c *probeCount) recent(now time.Duration) float64 {
-	return c.count * decay(max(0, now-c.at), probeHalfLife)
-}
-
 // probesPerReuse is the part of the steady count of probes that arrive in reuseInterval.
 const probesPerReuse = 0.6931 * float64(reuseInterval) / float64(probeHalfLife) // ln 2
 
 // probed returns the count of probes. The first count lets the subset have its full size:
 // when a fleet starts, small subsets would load targets unevenly.
-func (p *Placer) probed(now time.Duration, key subsetKey) *probeCount {
+func (p *Placer) probed(now time.Duration, key subsetKey) *decayingCount {
 	c := p.probeCounts[key]
 	if c == nil {
-		c = &probeCount{at: now}
+		c = &decayingCount{halfLife: probeHalfLife, at: now}
 		if !key.remote || !p.hasLocal[key.service] {
 			c.count = float64(p.fullSubset(key)) / probesPerReuse
 		}
--- a/placement/waitqueue.go
+++ b/placement/waitqueue.go
@@ -17,20 +17,18 @@
 // at the targets, and the rate at which requests start there.
 type waitQueue struct {
 	waiting map[int]int // by rank
-	// starts is a decaying count of the requests sent to targets, as of at.
-	starts float64
-	at     time.Duration
+	// starts counts the requests sent to targets.
+	starts decayingCount
 }
 
 // started records that a request is sent to a target.
 func (q *waitQueue) started(now time.Duration) {
-	q.starts = q.starts*decay(now-q.at, startRateHalfLife) + 1
-	q.at = now
+	q.starts.add(now, 1)
 }
 
 // rate returns the number of requests that start per second.
 func (q *waitQueue) rate(now time.Duration) float64 {
-	return q.starts * decay(now-q.at, startRateHalfLife) * math.Ln2 / startRateHalfLife.Seconds()
+	return q.starts.recent(now) * math.Ln2 / startRateHalfLife.Seconds()
 }
 
 // ahead returns the number of waiting requests with a rank of at most maxRank.
@@ -69,7 +67,7 @@
 func (p *Placer) queue(service string) *waitQueue {
 	q := p.queues[service]
 	if q == nil {
-		q = &waitQueue{waiting: make(map[int]int)}
+		q = &waitQueue{waiting: make(map[int]int), starts: decayingCount{halfLife: startRateHalfLife}}
 		p.queues[service] = q
 	}
 	return q
--- a/shortage/ledger.go
+++ b/shortage/ledger.go
@@ -15,8 +15,7 @@
 	forgetAfter = 10 * SumsHalfLife
 	// exchangedFullness is the fullness from which sums are sent to peers. Below it there
 	// is no shortage. Near it instances with more room must take part, so that those with
-	// less come to the mean: with 0.7 three times as many requests were turned away at a
-	// mean fullness of 0.733.
+	// less come to the mean.
 	exchangedFullness = 0.65
 )
 
@@ -63,27 +62,21 @@
 
 // ToSend returns the sums with which to start an exchange, as of now and sorted by service:
 // those of services that may be short of room.
-func (l *Ledger) ToSend(now time.Duration) []Entry { return l.answer(now, nil, true) }
+func (l *Ledger) ToSend(now time.Duration) []Entry { return l.Answer(now, nil, true) }
 
 // Answer returns the sums with which to answer a peer that has sent these, after Average:
 // those of the same services. A peer that takes the mean of others, too, would raise the
 // sums of the fleet, as this instance does not, and with them the fullness of the fullest.
 // A peer that is new has no sums, so it gets those of ToSend as well.
 func (l *Ledger) Answer(now time.Duration, received []Entry, isNew bool) []Entry {
-	return l.answer(now, received, isNew)
-}
-
-// answer returns the sums of the services that a peer has named, and those that may be
-// short of room if withShort is set.
-func (l *Ledger) answer(now time.Duration, named []Entry, withShort bool) []Entry {
 	var list []Entry
 	for service, e := range l.entries {
 		if now-e.At >= forgetAfter {
 			delete(l.entries, service)
 			continue
 		}
-		isNamed := slices.ContainsFunc(named, func(r Entry) bool { return r.Service == service })
-		if s := l.Sums(now, service); isNamed || withShort && len(s.Routes) > 1 && s.fullness() >= exchangedFullness {
+		isNamed := slices.ContainsFunc(received, func(r Entry) bool { return r.Service == service })
+		if s := l.Sums(now, service); isNamed || isNew && len(s.Routes) > 1 && s.fullness() >= exchangedFullness {
 			list = append(list, Entry{Service: service, Sums: s, At: now})
 		}
 	}
