review: upstreams that leave after a store outage are used past drainS

Cause: removals within 2.4 s of a reader's first answer after an outage count as lapses, and a lapsed target is kept for 2 s and a tick.

--- a/review/second/leftafteroutage.go
+++ b/review/second/leftafteroutage.go
@@ -14,6 +14,7 @@
 // a little longer, and then exit.
 func leftAfterOutage(r *run) (verdict, error) {
 	const (
+		machines     = 3
 		rounds       = 7
 		outage       = 6 * time.Second
 		stableWindow = 3 * time.Second
@@ -38,7 +39,7 @@
 		live = append(live, u)
 	}
 	r.putConfig(3, services, []route{{name: "r", prefix: "/r/", kind: "unsafe", service: "field", timeoutS: 1, targetS: 0.5, priority: 1, attempts: 2}})
-	if err := r.startInstances(2); err != nil {
+	if err := r.startInstances(machines); err != nil {
 		return verdict{}, err
 	}
 	stop := make(chan struct{})
--- a/review/second/upstream.go
+++ b/review/second/upstream.go
@@ -29,6 +29,10 @@
 	sequence          int
 	leftAt            atomic.Int64 // when its leaving was acknowledged, since the start of the case
 
+	// slowness is the fourth figure of the load, 0 to leave it out.
+	slowness int
+	// losesAnswer reports whether the answer to a request that has run is lost.
+	losesAnswer func() bool
 	// crashes reports whether a request crashes the upstream when it begins to run it.
 	crashes func(*http.Request) bool
 
@@ -64,6 +68,14 @@
 	_ = u.server.Close()
 }
 
+func (u *upstream) load() string {
+	text := fmt.Sprintf("%d,%d,%d", u.running.Load(), u.waiting.Load(), u.capacity)
+	if u.slowness > 0 {
+		text += fmt.Sprintf(",%d", u.slowness)
+	}
+	return text
+}
+
 // register writes the entry. Its return is the acknowledgement of the store.
 func (u *upstream) register(state string) {
 	u.sequence++
@@ -133,7 +145,7 @@
 	if id != "" {
 		h.Set("X-Request-Id", id)
 	}
-	h.Set("X-Upstream-Load", fmt.Sprintf("%d,%d,%d", u.running.Load(), u.waiting.Load(), u.capacity))
+	h.Set("X-Upstream-Load", u.load())
 	h["Date"] = nil
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != u.id {
 		h.Set("X-Instance-Id", u.id)
@@ -191,6 +203,10 @@
 		u.rec.line("%s: the connection of %s has closed, run dropped", u.id, id)
 		return
 	}
+	if u.losesAnswer != nil && u.losesAnswer() {
+		u.rec.line("%s has run %s, its answer is lost", u.id, id)
+		panic(http.ErrAbortHandler)
+	}
 	h.Set("X-Upstream-Signature", "sig-"+id)
 	_, _ = io.WriteString(w, "done "+id+" "+u.id)
 }
