--- a/review/second/store.go
+++ b/review/second/store.go
@@ -23,7 +23,6 @@
 	items    map[string]item
 	events   []item
 	revision uint64
-	silent   bool
 	changed  chan struct{} // closed and replaced at each change
 }
 
@@ -88,28 +87,7 @@
 
 func (s *store) remove(key string) { s.change(item{Key: key, Tombstone: true}) }
 
-// setSilent makes the store answer no call, nor those that wait at present, or answer new
-// ones again. A connection on which an answer is lost returns nothing further.
-func (s *store) setSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = silent
-	s.notify()
-}
-
-func (s *store) isSilent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.silent
-}
-
-// hang keeps a call without an answer until its caller gives up.
-func hang(r *http.Request) { <-r.Context().Done(); panic(http.ErrAbortHandler) }
-
 func (s *store) key(w http.ResponseWriter, r *http.Request) {
-	if s.isSilent() {
-		hang(r)
-	}
 	s.mu.Lock()
 	i, ok := s.items[r.URL.Query().Get("key")]
 	s.mu.Unlock()
@@ -122,9 +100,6 @@
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
-	if s.isSilent() {
-		hang(r)
-	}
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	found := []item{}
@@ -158,11 +133,8 @@
 				found = append(found, i)
 			}
 		}
-		revision, silent, changed := s.revision, s.silent, s.changed
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if silent {
-			hang(r)
-		}
 		if len(found) > 0 || over {
 			reply(w, map[string]any{"events": found, "asOf": revision})
 			return
--- a/review/second/upstream.go
+++ b/review/second/upstream.go
@@ -28,7 +28,6 @@
 	slots             chan struct{}
 	work              atomic.Int64 // time.Duration of a run
 	sequence          int
-	leftAt            atomic.Int64 // when its leaving was acknowledged, since the start of the case
 
 	// body is the body of answers, "" for a short one that names the request.
 	body string
@@ -39,11 +38,10 @@
 	// crashes reports whether a request crashes the upstream when it begins to run it.
 	crashes func(*http.Request) bool
 
-	mu       sync.Mutex
-	runs     map[string]int
-	arrivals []time.Duration // of requests after it left, since the acknowledgement
-	down     bool            // crashed and not back yet
-	ended    bool
+	mu    sync.Mutex
+	runs  map[string]int
+	down  bool // crashed and not back yet
+	ended bool
 }
 
 // queueLength is the number of requests that an upstream queues beyond its slots.
@@ -107,26 +105,6 @@
 		"status": map[string]any{"state": state, "sequence": u.sequence, "warmupLeftS": 0}})
 }
 
-// leave removes the entry without a report that it drains. The upstream serves on.
-func (u *upstream) leave() {
-	u.store.remove("servers/" + u.id)
-	u.leftAt.Store(int64(u.rec.now()))
-	u.rec.line("%s leaves: the store has acknowledged the removal of its entry", u.id)
-}
-
-// lateArrivals returns the number of requests that arrived later than limit after it left.
-func (u *upstream) lateArrivals(limit time.Duration) int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	n := 0
-	for _, after := range u.arrivals {
-		if after > limit {
-			n++
-		}
-	}
-	return n
-}
-
 // crashTime is how long an upstream is down after a crash.
 const crashTime = 3 * time.Second
 
@@ -177,9 +155,6 @@
 	}
 	if r.Method == http.MethodGet && r.URL.Path == healthPathOf(u.service) {
 		h.Set("X-Instance-Id", u.id)
-		if u.leftAt.Load() > 0 {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	}
 	if id == "" {
@@ -187,13 +162,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if left := u.leftAt.Load(); left > 0 {
-		after := u.rec.now() - time.Duration(left)
-		u.rec.line("request %s reaches %s, %.3f s after its leaving was acknowledged", id, u.id, after.Seconds())
-		u.mu.Lock()
-		u.arrivals = append(u.arrivals, after)
-		u.mu.Unlock()
-	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request is not whole
