--- a/review/second/upstream.go
+++ b/review/second/upstream.go
@@ -31,10 +31,6 @@
 
 	// body is the body of answers, "" for a short one that names the request.
 	body string
-	// slowness is the fourth figure of the load, 0 to leave it out.
-	slowness int
-	// losesAnswer reports whether the answer to a request that has run is lost.
-	losesAnswer func() bool
 	// crashes reports whether a request crashes the upstream when it begins to run it.
 	crashes func(*http.Request) bool
 
@@ -90,11 +86,7 @@
 }
 
 func (u *upstream) load() string {
-	text := fmt.Sprintf("%d,%d,%d", u.running.Load(), u.waiting.Load(), u.capacity)
-	if u.slowness > 0 {
-		text += fmt.Sprintf(",%d", u.slowness)
-	}
-	return text
+	return fmt.Sprintf("%d,%d,%d", u.running.Load(), u.waiting.Load(), u.capacity)
 }
 
 // register writes the entry. Its return is the acknowledgement of the store.
@@ -194,10 +186,6 @@
 		u.rec.line("%s: the connection of %s has closed, run dropped", u.id, id)
 		return
 	}
-	if u.losesAnswer != nil && u.losesAnswer() {
-		u.rec.line("%s has run %s, its answer is lost", u.id, id)
-		panic(http.ErrAbortHandler)
-	}
 	h.Set("X-Upstream-Signature", "sig-"+id)
 	if u.body != "" {
 		h.Set("Content-Length", strconv.Itoa(len(u.body)))
