--- a/review/second/instance.go
+++ b/review/second/instance.go
@@ -229,13 +229,17 @@
 	}
 }
 
-// freePorts returns ports that are free on the addresses of all instances.
+// freePorts returns ports that are free on the addresses of all instances. The port of the
+// metrics is that of the deploy file, so another run may take other addresses.
 func (r *run) freePorts(n int) (ports, error) {
-	for base := 20000 + os.Getpid()%10000; base < 32000; base += 7 {
-		p := ports{frontend: base, readiness: base + 1, control: base + 2, registry: base + 3}
-		if r.areFree(n, p) {
-			return p, nil
+	for range 100 {
+		for base := 20000 + os.Getpid()%10000; base < 32000; base += 700 {
+			p := ports{frontend: base, readiness: base + 1, control: base + 2, registry: base + 3}
+			if r.areFree(n, p) {
+				return p, nil
+			}
 		}
+		r.net = 60 + (r.net-59)%150
 	}
 	return ports{}, fmt.Errorf("no free ports")
 }
