placement, gateway: learn whether the targets of a service answer at all

Callers of an instance without a path to any target got the same refusal as in a shortage, and neither logs nor metrics told the two apart.

The placer counts the targets of a service that failed to answer exchanges which began after the last answer of any of them. Three in a row, or all, make the service unreachable; if no other service answers either, the instance is cut off. Both are logged and in a gauge, and targets of such a service are probed until one answers. The choice of targets does not use it yet; suspensions that began while none answered end with the first answer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 func (g *Gateway) Run(ctx context.Context) {
 	var watch sync.WaitGroup
 	watch.Go(func() { g.memory.watchGaps(ctx) })
+	watch.Go(func() { g.watchReachability(ctx) })
 	g.scheduler.run(ctx)
 	watch.Wait()
 	g.client.Close()
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -111,6 +111,9 @@
 	// Delivery counts a response that its caller has not got to the end, by kind: "cut",
 	// "stalled" or "failed".
 	Delivery(end string)
+	// Unreachable sets whether a service is unreachable: none of its targets answers this
+	// instance.
+	Unreachable(service string, unreachable bool)
 	// TargetWarmup counts targets that became "cold" or "warm" for this instance.
 	TargetWarmup(state string)
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -35,7 +35,8 @@
 		attributes = append(attributes, slog.Float64("retry_after_ms", millis(x.response.retryAfter)))
 	}
 	if requestOutcome == outcomeNoRoom && x.request.Route != nil {
-		attributes = append(attributes, slog.Any("asked", x.describeReports()))
+		attributes = append(attributes, slog.Any("asked", x.describeReports()),
+			slog.Bool("service_unreachable", g.scheduler.unreachableServices()[x.request.Service]))
 	}
 	if x.failedTargets > 0 {
 		attributes = append(attributes, slog.String("fingerprint", x.identity().Content.String()), slog.Int("failed_targets", x.failedTargets))
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -48,6 +48,11 @@
 	onFailureReport func(quarantine.FailureReport, bool)
 	metrics         Metrics
 	shortages       shortages
+	// unreachable holds the services of which no target answers, cutOff is true if none of any
+	// service does. Both are readable from any goroutine.
+	unreachable atomic.Pointer[map[string]bool]
+	cutOff      atomic.Bool
+	lost        chan struct{} // receives a value when a service becomes unreachable
 }
 
 func newScheduler(o Options) *scheduler {
@@ -66,7 +71,7 @@
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
 		budgetOffset: o.Random.Float64(), instances: o.WeightedInstances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, warmup: o.Warmup, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
-		metrics: o.Metrics, shortages: newShortages(o, placer)}
+		metrics: o.Metrics, shortages: newShortages(o, placer), lost: make(chan struct{}, 1)}
 }
 
 // run handles calls until the context ends.
@@ -181,6 +186,12 @@
 // recordProbe records the answer to a probe.
 func (s *scheduler) recordProbe(id catalog.Incarnation, answer probeAnswer) {
 	s.loop.Post(func(now time.Duration) {
+		switch {
+		case answer.result != placement.ProbeSilent:
+			s.answered(now, id)
+		case answer.unanswered:
+			s.silent(now, answer.sentAt, id)
+		}
 		if s.placer.Probed(now, id, answer.result) {
 			s.log.Info("target probe status changed", "target", id.ID, "answers", answer.result != placement.ProbeSilent)
 		}
@@ -326,6 +337,12 @@
 			s.placer.Reported(placement.Report{Target: res.Target, Load: load, At: now})
 		}
 		s.placer.Ended(now, res.Target.Incarnation(), res.sentAt, route, res.Choice, outcome)
+		switch {
+		case outcome.ConnectionLost:
+			s.silent(now, res.sentAt, res.Target.Incarnation())
+		case outcome.Responded || outcome.Rejected:
+			s.answered(now, res.Target.Incarnation())
+		}
 	})
 }
 
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -183,6 +183,8 @@
 	// warmupLeft is how much longer the target is cold, if there is a report.
 	warmupLeft time.Duration
 	sentAt     time.Duration
+	// unanswered is set if the probe was to be sent, and nothing at the address has answered.
+	unanswered bool
 }
 
 // sendProbe probes a target. The result is ProbeSilent if no complete response
@@ -192,7 +194,7 @@
 	d, sentAt := &g.options.Dialect, g.options.Now()
 	response, err := g.probe(ctx, t, false)
 	if err != nil || !isFrom(d, response, t) {
-		return probeAnswer{}
+		return probeAnswer{sentAt: sentAt, unanswered: err != nil && !errors.Is(err, errNoHealthPath)}
 	}
 	load, hasLoad := d.ParseLoad(response.Header.Get(d.Load))
 	if !hasLoad { // without a load report the target counts as idle
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -206,6 +206,7 @@
 func (noMetrics) TurnedAway(int)                {}
 func (noMetrics) Delivery(string)               {}
 func (noMetrics) TargetWarmup(string)           {}
+func (noMetrics) Unreachable(string, bool)      {}
 
 // fixture is a gateway in front of targets.
 type fixture struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,6 +45,7 @@
 	panics      *tagged[tally.Counter]
 	turned      *tagged[tally.Counter]
 	shortage    *tagged[tally.Gauge]
+	unreachable *tagged[tally.Gauge]
 	implausible tally.Counter
 	gauges      *tagged[tally.Gauge]
 	latency     *tagged[tally.Histogram]
@@ -98,6 +99,9 @@
 	m.shortage = newTagged(func(service string) tally.Gauge {
 		return scope.Tagged(map[string]string{tagService: service}).Gauge("shortage_level")
 	})
+	m.unreachable = newTagged(func(service string) tally.Gauge {
+		return scope.Tagged(map[string]string{tagService: service}).Gauge("service_unreachable")
+	})
 	m.implausible = scope.Counter("implausible_demand_total")
 	m.gauges = newTagged(func(name string) tally.Gauge { return scope.Gauge(name) })
 	m.latency = newTagged(func(route string) tally.Histogram {
@@ -140,6 +144,15 @@
 // TurnedAway counts a request that is turned away by a shortage, by the rank of its route.
 func (m *Metrics) TurnedAway(rank int) { m.turned.get(strconv.Itoa(rank)).Inc(1) }
 
+// Unreachable sets whether no target of a service answers this instance: 1 if so, else 0.
+func (m *Metrics) Unreachable(service string, unreachable bool) {
+	value := 0.0
+	if unreachable {
+		value = 1
+	}
+	m.unreachable.get(service).Update(value)
+}
+
 // TargetWarmup counts a target that became "cold" or "warm" for this instance.
 func (m *Metrics) TargetWarmup(state string) { m.warmups.get(state).Inc(1) }
 
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -40,6 +40,10 @@
 	settled     func(now time.Duration) bool
 	warmupTerms map[string]shareTerms    // by service, of those that limit the requests of cold targets
 	owned       map[string]*ownedTargets // by service
+	// reachabilities are those of the services with targets; answeredAt is when a target of
+	// any of them last answered.
+	reachabilities map[string]*reachability
+	answeredAt     time.Duration
 }
 
 // New returns a placer without targets for an instance in the failure domain.
@@ -49,7 +53,8 @@
 		curves: make(map[string]*occupancyCurve), loads: make(map[string]*serviceLoad),
 		queues: make(map[string]*waitQueue), roundTrips: make(roundTrips), probeCounts: make(map[subsetKey]*decayingCount),
 		share:   func(*catalog.Target, int) (bool, int) { return true, 1 },
-		settled: func(time.Duration) bool { return true }, owned: make(map[string]*ownedTargets)}
+		settled: func(time.Duration) bool { return true }, owned: make(map[string]*ownedTargets),
+		reachabilities: make(map[string]*reachability)}
 }
 
 // SetShares sets the function that divides limited targets among the instances. Before
--- a/placement/settargets.go
+++ b/placement/settargets.go
@@ -40,6 +40,7 @@
 	p.absent.expire(now)
 	p.lists = services
 	p.demand.keepServices(p.services)
+	p.keepReachabilities()
 }
 
 // difference returns the parts of two lists without their common beginning and end. The
