edge: connections to targets can be opened from a given address

Tests of a path to the targets that is lost for one instance only could not tell the instances apart: all of their connections come from the same loopback address. Without the flag nothing changes.

--- a/gateway/failurereports.go
+++ b/gateway/failurereports.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"log/slog"
-	"net"
 	"strings"
 	"time"
 
@@ -170,7 +169,7 @@
 	case err == nil:
 		return !isFrom(&g.options.Dialect, response, t)
 	case errors.Is(err, errNoHealthPath):
-		return !accepts(ctx, t)
+		return !g.accepts(ctx, t)
 	case broken:
 		return true
 	}
@@ -180,8 +179,8 @@
 }
 
 // accepts reports whether a target accepts a connection. Nothing is sent on it.
-func accepts(ctx context.Context, t *catalog.Target) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
+func (g *Gateway) accepts(ctx context.Context, t *catalog.Target) bool {
+	dialer := transport.Dialer(g.options.LocalAddress, dialTimeout)
 	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 	g.memory.sendBuffer = o.CallerSendBuffer
 	begin := time.Now()
 	g.memory.gaps.now = func() time.Duration { return time.Since(begin) }
-	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now,
+	g.client = transport.NewClient(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, Now: o.Now, LocalAddress: o.LocalAddress,
 		ConnectionLimit: g.connectionLimit})
 	return g
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
@@ -31,6 +32,9 @@
 	Dialect Dialect
 	// FailureDomain is the failure domain of this instance.
 	FailureDomain string
+	// LocalAddress is the IP address from which connections to targets are opened. Not valid:
+	// the system chooses it.
+	LocalAddress netip.Addr
 	// View returns the current view, never nil.
 	View func() *catalog.View
 	// Instances returns the number of instances that may be alive.
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -37,14 +38,17 @@
 		RunE:          func(command *cobra.Command, _ []string) error { return flags.run(command.Context()) },
 	}
 	command.Flags().IntVar(&flags.metricsPort, "metrics-port", 0, "port that serves metrics on the caller address; 0: none")
+	command.Flags().StringVar(&flags.localAddress, "local-address", "",
+		"IP address from which connections to targets are opened; empty: chosen by the system")
 	flags.security.AddFlags(command.Flags())
 	return command
 }
 
 // flags holds the flag values of the command.
 type flags struct {
-	metricsPort int
-	security    secure.Files
+	metricsPort  int
+	localAddress string
+	security     secure.Files
 }
 
 func (f *flags) run(ctx context.Context) error {
@@ -68,10 +72,14 @@
 	if err != nil {
 		return errors.Wrap(err, "load certificates")
 	}
+	local, err := parseLocalAddress(f.localAddress)
+	if err != nil {
+		return err
+	}
 	store := platform.NewStore(settings.StoreAddress)
 	n, err := node.New(node.Options{Settings: settings, Source: store,
 		Decoder: platform.Decoder{}, Dialect: platform.Dialect(), ResolveHandler: platform.ResolveHandler,
-		ReadyHandler: platform.ReadyHandler, Identity: identity, MetricsPort: f.metricsPort, Log: logger})
+		ReadyHandler: platform.ReadyHandler, Identity: identity, MetricsPort: f.metricsPort, LocalAddress: local, Log: logger})
 	if err != nil {
 		return errors.Wrap(err, "create instance")
 	}
@@ -80,3 +88,15 @@
 	go (&supervisor{node: n, store: store, settingsPath: path, identity: identity, log: logger}).watch(signals, ended)
 	return n.Run(ctx)
 }
+
+// parseLocalAddress returns the address of the flag, one that is not valid for an empty text.
+func parseLocalAddress(text string) (netip.Addr, error) {
+	if text == "" {
+		return netip.Addr{}, nil
+	}
+	address, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Addr{}, errors.Wrap(err, "parse local address")
+	}
+	return address, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -48,7 +48,7 @@
 	if err := n.openFleet(); err != nil {
 		return nil, err
 	}
-	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain,
+	n.gateway = gateway.New(gateway.Options{Dialect: o.Dialect, FailureDomain: o.Settings.FailureDomain, LocalAddress: o.LocalAddress,
 		View: n.fleet.View, Instances: func() int { return n.fleet.Snapshot().Size },
 		WeightedInstances: func() int { return n.fleet.Snapshot().EffectiveSize },
 		Isolated:          func() bool { return n.fleet.Snapshot().Isolated },
--- a/node/options.go
+++ b/node/options.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/fleet"
@@ -10,7 +11,8 @@
 	"github.com/dogwoodroute/dogwoodroute/secure"
 )
 
-// Options configures a Node. All fields except Identity and MetricsPort are required.
+// Options configures a Node. All fields except Identity, MetricsPort and
+// LocalAddress are required.
 type Options struct {
 	Settings *Settings
 	// Source reads the store; Decoder decodes its records.
@@ -28,5 +30,8 @@
 	// MetricsPort is the port for metrics on the instance's address. If 0, metrics
 	// are not served.
 	MetricsPort int
+	// LocalAddress is the IP address from which connections to targets are opened. Not valid:
+	// the system chooses it.
+	LocalAddress netip.Addr
 	Log         *slog.Logger
 }
--- a/transport/client.go
+++ b/transport/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,9 @@
 	IdleTimeout time.Duration
 	// DialTimeout limits the time to open a connection. Default 1 s.
 	DialTimeout time.Duration
+	// LocalAddress is the IP address from which connections are opened. Not valid: the system
+	// chooses it.
+	LocalAddress netip.Addr
 	// ProbeTimeout limits the time of a probe. Default 1 s.
 	ProbeTimeout time.Duration
 	// HeadBytes limits the size of a response head in bytes, including preceding 1xx
@@ -68,11 +72,21 @@
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
 	c := &Client{options: o}
-	c.pool = pool{options: o, counters: &c.counters, dialer: net.Dialer{Timeout: o.DialTimeout},
+	c.pool = pool{options: o, counters: &c.counters, dialer: Dialer(o.LocalAddress, o.DialTimeout),
 		addresses: make(map[string]*addressPool)}
 	return c
 }
 
+// Dialer returns a dialer that opens connections from a local IP address, or from one that the
+// system chooses if it is not valid.
+func Dialer(local netip.Addr, timeout time.Duration) net.Dialer {
+	dialer := net.Dialer{Timeout: timeout}
+	if local.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.AsSlice()}
+	}
+	return dialer
+}
+
 // Counters returns a snapshot. The counts are read one by one, not atomically.
 func (c *Client) Counters() Counters { return c.counters.snapshot() }
 
