relay: requests are served by another instance while no target answers

What callers saw: an instance that had lost its path to the targets refused nearly all of its callers for as long as that lasted, although other instances reached the targets and it reached those instances.

Cause: an instance served a request only by connections of its own to targets; neither its peers nor the lists for callers knew that it had none. Requests waited for room that was not what lacked.

Change: while no target of its service answers, a request goes to an instance that reaches them, by a gRPC stream (peerapi/relay.proto). That instance accepts before it gets the rest, so a request that was not accepted has certainly not run. The new package relay chooses the instance and keeps what it learns from answers; a relayed request is not relayed again and counts once for the budget of repeats. Members say that they are cut off, and lists for callers leave them out while there are others. A request that no instance can serve is refused at once (outcome "unreachable"). A planned stop completes relayed requests.

Ruled out: leaving the lists only (callers keep lists and connections), and a broken response as a sign of a lost path (existing tests showed a service of one target refused for it; only missing connections and silence count).

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Config is one version of the operators' configuration.
 type Config struct {
@@ -39,6 +42,11 @@
 	Regions []string
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // WeightedService is the share of one service in a route.
 type WeightedService struct {
 	Service string
--- a/fleet/clients.go
+++ b/fleet/clients.go
@@ -5,10 +5,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 
+	"github.com/dogwoodroute/dogwoodroute/internal/peerconn"
 	"github.com/dogwoodroute/dogwoodroute/peerapi"
 	"github.com/dogwoodroute/dogwoodroute/secure"
 )
@@ -17,9 +16,6 @@
 	// exchangeTimeout bounds one exchange. Peers answer within milliseconds; no
 	// answer within this time means that the peer or the connection is lost.
 	exchangeTimeout = 400 * time.Millisecond
-	// connectBackoff is the delay before the first reconnection. It is short, since a
-	// restarted process listens again within a fraction of a second.
-	connectBackoff = 100 * time.Millisecond
 	// connectionBufferBytes is the size of each read and write buffer of a connection;
 	// messages are small.
 	connectionBufferBytes = 4 << 10
@@ -48,15 +44,10 @@
 	if conn := c.conns[ip]; conn != nil {
 		return conn, nil
 	}
-	params := grpc.ConnectParams{MinConnectTimeout: exchangeTimeout,
-		Backoff: backoff.Config{BaseDelay: connectBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: 5 * connectBackoff}}
-	options := append([]grpc.DialOption{c.identity.DialOption(), grpc.WithConnectParams(params), grpc.WithNoProxy(),
-		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithIdleTimeout(0),
-		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
-		grpc.WithReadBufferSize(connectionBufferBytes), grpc.WithWriteBufferSize(connectionBufferBytes)}, c.dialOptions...)
-	conn, err := grpc.NewClient("passthrough:///"+netip.AddrPortFrom(ip, c.port).String(), options...)
+	conn, err := peerconn.New(peerconn.Options{Peer: netip.AddrPortFrom(ip, c.port), Identity: c.identity, ConnectTimeout: exchangeTimeout,
+		WindowBytes: windowBytes, BufferBytes: connectionBufferBytes, Additional: append([]grpc.DialOption{grpc.WithIdleTimeout(0)}, c.dialOptions...)})
 	if err != nil {
-		return nil, errors.Wrapf(err, "create gRPC client for peer %s", ip)
+		return nil, err
 	}
 	c.conns[ip] = conn
 	return conn, nil
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -45,6 +45,8 @@
 	// Suspected is set only in messages, by an instance of another failure domain that does
 	// not reach the member: the receiver is asked to confirm that it is down.
 	Suspected
+	// CutOff is set while no target answers the instance. Others serve its callers.
+	CutOff
 )
 
 // Has reports whether at least one of the given flags is set.
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/secure"
@@ -46,6 +48,10 @@
 	// OnView, if not nil, is called by the task after each new view. It returns whether
 	// this instance can serve callers with it. It must not block or call the task.
 	OnView func() (ready bool)
+	// CutOff, if not nil, reports whether no target answers this instance. It must not block.
+	CutOff func() bool
+	// RegisterServices, if not nil, registers further services for peers.
+	RegisterServices func(grpc.ServiceRegistrar)
 	// OnImplausibleDemand, if not nil, is called by the task with the number of figures in
 	// a message of a peer that it ignores. It must not block.
 	OnImplausibleDemand func(n int)
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -67,6 +67,8 @@
 	Domain int
 	// Capacity is that of Member.
 	Capacity uint32
+	// CutOff is true if the instance says that no target answers it.
+	CutOff bool
 	// Weight is the load that the instance should get, relative to others: 1 for those with
 	// the smallest capacity.
 	Weight float64
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -125,6 +125,9 @@
 	server := grpc.NewServer(t.options.Identity.ServerOption(), grpc.ReadBufferSize(connectionBufferBytes), grpc.WriteBufferSize(connectionBufferBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.ConnectionTimeout(exchangeTimeout))
 	peerapi.RegisterFleetServer(server, &service{task: t})
+	if t.options.RegisterServices != nil {
+		t.options.RegisterServices(server)
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(t.options.Listener) }()
 	go func() {
@@ -166,6 +169,7 @@
 		t.publishView(now)
 	}
 	t.updateReader(now)
+	t.updateCutOff()
 	for _, ip := range t.roster.dueProbes(now) {
 		t.contact(now, ip, broadcast{})
 	}
@@ -180,6 +184,13 @@
 	t.logLive()
 }
 
+// updateCutOff sets the flag CutOff of this instance, and notifies peers of a change.
+func (t *Task) updateCutOff() {
+	if t.options.CutOff != nil && t.setFlag(CutOff, t.options.CutOff()) {
+		t.scheduleBroadcast(scopeFew)
+	}
+}
+
 // updateReader starts or stops reading the store as needed, and updates the flags
 // Reading and StoreFailed of this instance.
 func (t *Task) updateReader(now time.Duration) {
--- a/fleet/weight.go
+++ b/fleet/weight.go
@@ -50,5 +50,5 @@
 
 // instance returns the member as an instance without its weight.
 func (m *Member) instance() Instance {
-	return Instance{IP: m.IP, Domain: m.Domain, Capacity: m.Capacity}
+	return Instance{IP: m.IP, Domain: m.Domain, Capacity: m.Capacity, CutOff: m.State.Has(CutOff)}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -19,10 +20,14 @@
 // until it is complete.
 const maxResponseBytes = 16 << 20
 
-// attempt is one send of a request to one target.
+// attempt is one send of a request to one target, or to another instance.
 type attempt struct {
 	reservation
+	// peer is the instance that got the request; not valid if a target did.
+	peer   netip.Addr
 	number int // from 1
+	// maxRuns is the number of targets that may run the request in this attempt.
+	maxRuns int
 	// afterFailure is true if a target was known to have failed under the request when the
 	// attempt began.
 	afterFailure bool
@@ -56,13 +61,21 @@
 	attemptBroken    attemptOutcome = "broken"  // no response, or an incomplete or invalid one
 	attemptUnsigned  attemptOutcome = "spoiled" // success without the target's signature
 	attemptTimedOut  attemptOutcome = "timed-out"
+	attemptRelayed   attemptOutcome = "relayed"   // another instance gave the response
+	attemptRefused   attemptOutcome = "refused"   // another instance refused it; it did not run
+	attemptUnable    attemptOutcome = "unable"    // another instance cannot serve it now; it did not run
 	attemptNoMemory  attemptOutcome = "no-memory" // this instance had no memory for the response
 	attemptCancelled attemptOutcome = "ended"     // cancelled: the caller is gone or another attempt gave the response
 )
 
 // didNotRun reports whether the attempt certainly did not run the request, so
 // that a retry is safe also for a request that is not idempotent.
-func (o attemptOutcome) didNotRun() bool { return o == attemptRejected || o == attemptNotSent }
+func (o attemptOutcome) didNotRun() bool {
+	return o == attemptRejected || o == attemptNotSent || o == attemptRefused || o == attemptUnable
+}
+
+// didNotArrive reports whether the attempt reached no target.
+func (o attemptOutcome) didNotArrive() bool { return o == attemptNotSent || o == attemptUnable }
 
 // send sends the request and waits until the response is complete or the
 // attempt fails. arrived is called when the head of the response has arrived.
@@ -149,6 +162,19 @@
 	return false
 }
 
+// noConnection reports whether an exchange failed since no connection to the target could be
+// made.
+func noConnection(err error) bool {
+	var failed *transport.Error
+	return errors.As(err, &failed) && failed.Step == transport.StepConnect && !errors.Is(err, context.Canceled)
+}
+
+// timedOutAtTarget reports whether an exchange ended at its deadline while it had a connection.
+func timedOutAtTarget(err error) bool {
+	var failed *transport.Error
+	return errors.As(err, &failed) && failed.Step != transport.StepWait && errors.Is(err, context.DeadlineExceeded)
+}
+
 // slowTargetFactor is the multiple of the expected time after which a time-out
 // counts as a failure of the target. Below it the caller's deadline was too short.
 const slowTargetFactor = 3
@@ -170,6 +196,7 @@
 	case attemptNotSent:
 		r.Failed = !errors.Is(e.err, context.Canceled)
 		r.ConnectionLost = r.Failed
+		r.NoConnection = r.Failed && noConnection(e.err)
 	}
 	return r
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -29,20 +29,14 @@
 	if length > 0 && !memory.fits(length) {
 		return newRefusal(outcomeNoRoom, defaultRetryAfter)
 	}
-	g := x.gateway
-	if err := x.controller.SetReadDeadline(time.Now().Add(x.deadline - g.options.Now())); err != nil {
-		g.options.Log.Warn("set read deadline for request body failed; reading without one", "id", x.id, "error", err.Error())
-	}
+	x.setReadDeadline(time.Now().Add(x.deadline - x.gateway.options.Now()))
 	err := x.body.Fill(x.caller.Body, length, limit, memory.reserve)
 	x.bodyBytes = x.body.Len()
 	switch {
 	case err == nil:
 		// The deadline is not cleared after an error, so that net/http does not
 		// wait for the rest of the body.
-		if err := x.controller.SetReadDeadline(time.Time{}); err != nil {
-			g.options.Log.Warn("clear read deadline after request body failed; it stays on the caller's connection",
-				"id", x.id, "error", err.Error())
-		}
+		x.setReadDeadline(time.Time{})
 		return nil
 	case errors.Is(err, segments.ErrNoMemory):
 		return newRefusal(outcomeNoRoom, defaultRetryAfter)
@@ -54,3 +48,15 @@
 		return &response{status: http.StatusBadRequest, outcome: outcomeBadRequest}
 	}
 }
+
+// setReadDeadline sets the deadline for reading the body, or clears it if it is zero. The
+// context of a relayed request has a deadline, and its body is read from that.
+func (x *exchange) setReadDeadline(at time.Time) {
+	if x.relayed != nil {
+		return
+	}
+	if err := x.controller.SetReadDeadline(at); err != nil {
+		x.gateway.options.Log.Warn("set read deadline for request body failed; the one before stays on the caller's connection",
+			"id", x.id, "clear", at.IsZero(), "error", err.Error())
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/relay"
 )
 
 const (
@@ -55,6 +56,11 @@
 	// cachedIdentity is valid once identityKnown is true.
 	cachedIdentity quarantine.Identity
 	identityKnown  bool
+	// relayed is the request as another instance sent it; nil if it came from its caller.
+	relayed *relay.Request
+	// counted is true if the request counts as demand for its service, here or at the instance
+	// that relayed it.
+	counted bool
 	// failedTargets is the number of targets with a failure report of the request, as
 	// of the last call of blockedFor.
 	failedTargets int
@@ -88,6 +94,7 @@
 		return &response{status: http.StatusNotFound, outcome: outcomeNoRoute}
 	}
 	x.setDeadline(route)
+	x.setRelayedDeadline()
 	if g.mayOutliveStop(x.deadline) {
 		return newRefusal(outcomeStopped, leavingRetryDelay)
 	}
@@ -101,10 +108,11 @@
 	if blocked > 0 {
 		return newRefusal(outcomeSuspect, blocked)
 	}
-	admitted, err := g.scheduler.admit(x.caller.Context(), &x.request)
+	admitted, err := g.scheduler.admit(x.caller.Context(), &x.request, x.relayedService(), x.counted)
 	if err != nil {
 		return x.interrupted()
 	}
+	x.counted = x.counted || admitted.counted
 	if !admitted.hasTargets {
 		return newRefusal(outcomeNoTarget, defaultRetryAfter)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/relay"
 )
 
 // maxRejections is the number of sends beyond the attempts of the route that are
@@ -35,6 +36,7 @@
 	postponed        bool          // a retry waits for the crash checks
 	selecting        bool
 	lastHedgePlanned bool
+	refusedByPeer    bool // an instance that got the request refused it
 	hedgeTimer       *time.Timer
 	// targetFailure is the first error response of a target that may be forwarded.
 	// The caller gets it if no attempt succeeds.
@@ -67,6 +69,8 @@
 			r.releaseIfUnwanted(&s)
 			expected := r.awaitResponse(&s)
 			switch {
+			case s.refusal == nil && s.peer.IsValid():
+				r.startRelay(s.peer, expected)
 			case s.refusal == nil:
 				r.startAttempt(s.reservation, expected)
 			case r.active == 0:
@@ -115,12 +119,13 @@
 func (r *forwarder) startSelection(p purpose) {
 	r.selecting = true
 	request := r.request // a copy, since later attempts change Tried
-	if r.countAttempts(func(a *attempt) bool { return a.outcome != attemptNotSent }) == 0 {
+	triedPeers := r.triedPeers()
+	if r.countAttempts(func(a *attempt) bool { return !a.outcome.didNotArrive() }) == 0 {
 		p = firstSend // no target has received it yet
 	}
 	go func() {
 		s := selection{refusal: r.stoppedRefusal()}
-		_ = contain.Run("choice of a target", r.gateway.options.OnPanic, func() { s = r.selectTarget(r.ctx, &request, p) })
+		_ = contain.Run("choice of a target", r.gateway.options.OnPanic, func() { s = r.selectTarget(r.ctx, &request, p, triedPeers) })
 		r.selected <- s
 	}()
 }
@@ -143,7 +148,7 @@
 	default:
 		return
 	}
-	r.release(s.reservation)
+	r.releaseSelected(*s)
 }
 
 // awaitResponse adds the response of a selected target to those that are awaited, and returns the
@@ -157,15 +162,19 @@
 	expected, ok := g.responseSizes.begin(r.request.Route.Name, g.memory.responseFits)
 	if !ok {
 		s.refusal = newRefusal(outcomeNoRoom, defaultRetryAfter)
-		r.release(s.reservation)
+		r.releaseSelected(*s)
 	}
 	return expected
 }
 
-// release gives up a reserved target to which the request was not sent.
-func (r *forwarder) release(res reservation) {
-	r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
-	r.gateway.scheduler.recordEnd(res, r.request.Route, placement.Outcome{}, placement.Load{})
+// releaseSelected gives up a selected target or instance to which the request was not sent.
+func (r *forwarder) releaseSelected(s selection) {
+	if s.peer.IsValid() {
+		r.gateway.scheduler.relayEnded(r.request.Service, s.peer, relay.Abandoned)
+		return
+	}
+	r.gateway.targetBodies.release(s.Target.Incarnation(), r.bodyBytes)
+	r.gateway.scheduler.recordEnd(s.reservation, r.request.Route, placement.Outcome{}, placement.Load{})
 }
 
 // abandon releases the target that a selection in progress may still reserve.
@@ -175,7 +184,7 @@
 	}
 	go func() {
 		if s := <-r.selected; s.refusal == nil {
-			r.release(s.reservation)
+			r.releaseSelected(s)
 		}
 	}()
 }
@@ -184,24 +193,32 @@
 // result of awaitResponse.
 func (r *forwarder) startAttempt(res reservation, expected int64) {
 	afterFailure := r.failedTargets > 0 || r.countAttempts(func(a *attempt) bool { return a.outcome == attemptBroken }) > 0
-	a := &attempt{reservation: res, number: len(r.attempts) + 1, afterFailure: afterFailure}
+	a := &attempt{reservation: res, number: len(r.attempts) + 1, maxRuns: 1, afterFailure: afterFailure}
 	r.attempts = append(r.attempts, a)
 	r.request.Tried = append(r.request.Tried, res.Target.Incarnation())
 	r.active++
 	r.hedgeTimer.Reset(res.HedgeAfter)
 	outgoing := r.outgoingRequest(a)
+	r.runAttempt(a, expected, func(arrived func()) attemptEnd { return r.send(r.ctx, outgoing, arrived) }, func(e attemptEnd) {
+		r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
+		if e.advised {
+			r.gateway.scheduler.recordAdvice(res, e.advice)
+		}
+		r.gateway.scheduler.recordEnd(res, r.request.Route, e.placementOutcome(res), e.load)
+	})
+}
+
+// runAttempt carries out an attempt in another goroutine, records its end and sends it to
+// finished. arrived, which send calls, ends the wait for the bytes of awaitResponse.
+func (r *forwarder) runAttempt(a *attempt, expected int64, send func(arrived func()) attemptEnd, record func(attemptEnd)) {
 	arrived := sync.OnceFunc(func() { r.gateway.responseSizes.end(expected) })
 	go func() {
 		defer arrived()
 		var e attemptEnd
-		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = r.send(r.ctx, outgoing, arrived) }); err != nil {
+		if err := contain.Run("attempt", r.gateway.options.OnPanic, func() { e = send(arrived) }); err != nil {
 			e = attemptEnd{outcome: attemptBroken, err: err, endedAt: r.gateway.options.Now()}
 		}
-		r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
-		if e.advised {
-			r.gateway.scheduler.recordAdvice(res, e.advice)
-		}
-		r.gateway.scheduler.recordEnd(res, r.request.Route, e.placementOutcome(res), e.load)
+		record(e)
 		r.finished <- finishedAttempt{attempt: a, attemptEnd: e}
 	}()
 }
@@ -233,7 +250,18 @@
 		r.gateway.responseSizes.observe(r.request.Route.Name, a.response.body.Len())
 		r.completed(a.Target)
 		return a.response
+	case attemptRelayed:
+		return a.response
+	case attemptRefused:
+		if r.active == 0 && !r.mayHaveRun() {
+			return a.response
+		}
+		r.refusedByPeer = true
+		return nil
 	case attemptBroken:
+		if a.peer.IsValid() {
+			return nil // that instance checks the targets
+		}
 		r.checks++
 		r.checkCrash(a, true, func() { r.checked <- struct{}{} })
 	}
@@ -254,10 +282,16 @@
 	return n
 }
 
-// possibleRuns returns the number of attempts, in progress or finished, that may have
-// run the request.
+// possibleRuns returns the number of targets that may have run the request, in attempts
+// that are in progress or finished.
 func (r *forwarder) possibleRuns() int {
-	return r.countAttempts(func(a *attempt) bool { return !a.outcome.didNotRun() })
+	n := 0
+	for _, a := range r.attempts {
+		if !a.outcome.didNotRun() {
+			n += a.maxRuns
+		}
+	}
+	return n
 }
 
 // mayHaveRun reports whether any attempt may have run the request.
@@ -266,7 +300,7 @@
 // mayRetry reports whether one more attempt is allowed. A request that is not
 // idempotent may be retried only if no attempt so far can have run it.
 func (r *forwarder) mayRetry() bool {
-	if r.selecting || r.ctx.Err() != nil {
+	if r.selecting || r.ctx.Err() != nil || r.refusedByPeer {
 		return false
 	}
 	if r.countAttempts(func(a *attempt) bool { return a.outcome == attemptNoMemory }) > 0 {
@@ -276,7 +310,7 @@
 	if !r.request.Route.Idempotent && runs > 0 {
 		return false
 	}
-	return runs < r.request.Route.MaxAttempts && len(r.attempts) < r.request.Route.MaxAttempts+maxRejections
+	return runs < r.maxRuns() && len(r.attempts) < r.request.Route.MaxAttempts+maxRejections
 }
 
 // retry starts the selection of a target for another attempt, and reports whether it
@@ -329,6 +363,9 @@
 // is gone. The targets of open attempts may have crashed without closing the connection.
 func (r *forwarder) expired() *response {
 	for _, a := range r.attempts {
+		if a.peer.IsValid() {
+			continue
+		}
 		if !a.finished || a.outcome == attemptTimedOut || a.outcome == attemptCancelled {
 			r.checkCrash(a, false, func() {})
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodroute/dogwoodroute/catalog"
+	"github.com/dogwoodroute/dogwoodroute/internal/backoff"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
 	"github.com/dogwoodroute/dogwoodroute/transport"
@@ -128,6 +129,9 @@
 	g.scheduler.addFailureReports(list)
 }
 
+// CutOff reports whether no target of any service answers this instance.
+func (g *Gateway) CutOff() bool { return g.scheduler.cutOff.Load() }
+
 // Ready reports whether the gateway has a configuration and targets and is not
 // stopping.
 func (g *Gateway) Ready() bool {
@@ -157,13 +161,20 @@
 // InFlight returns the number of requests without a complete response.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// AwaitRequests waits until all requests have a complete response, or the context ends.
+func (g *Gateway) AwaitRequests(ctx context.Context) {
+	for g.InFlight() > 0 && ctx.Err() == nil {
+		backoff.Sleep(ctx, checkPollInterval)
+	}
+}
+
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if the
 // caller is gone or has not got the whole response.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{gateway: g, caller: r, controller: http.NewResponseController(w),
-		arrived: g.options.Now(), id: r.Header.Get(g.options.Dialect.RequestID), memory: memoryHold{limit: g.memory}}
+	x := g.newExchange(r, g.options.Now())
+	x.controller = http.NewResponseController(w)
 	defer x.memory.release()
 	resp := x.serve()
 	if resp != nil {
@@ -177,6 +188,11 @@
 	}
 }
 
+// newExchange returns the exchange for a request that arrived at a time.
+func (g *Gateway) newExchange(r *http.Request, arrived time.Duration) *exchange {
+	return &exchange{gateway: g, caller: r, arrived: arrived, id: r.Header.Get(g.options.Dialect.RequestID), memory: memoryHold{limit: g.memory}}
+}
+
 // connectionLimit returns the number of connections to an address that this
 // instance may use.
 func (g *Gateway) connectionLimit(address string) int {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodroute/dogwoodroute/internal/contain"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/relay"
 	"github.com/dogwoodroute/dogwoodroute/shortage"
 )
 
@@ -87,6 +88,10 @@
 	// the fleet saw, which is no longer changed. Nil: this instance goes by what it sees itself.
 	OnDemand func(take func() []shortage.Entry)
 	Demand   func() *[]shortage.Entry
+	// Relay sends requests to other instances while no target of their service answers this
+	// one. RelayPeers returns those instances, in a new list. Nil: such requests are refused.
+	Relay      Relay
+	RelayPeers func() []relay.Peer
 	// OnPanic handles a panic in the work on a request, which then ends that work only. Nil:
 	// it ends the process.
 	OnPanic contain.Handler
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -38,6 +38,9 @@
 		attributes = append(attributes, slog.Any("asked", x.describeReports()),
 			slog.Bool("service_unreachable", g.scheduler.unreachableServices()[x.request.Service]))
 	}
+	if x.relayed != nil {
+		attributes = append(attributes, slog.Bool("relayed", true))
+	}
 	if x.failedTargets > 0 {
 		attributes = append(attributes, slog.String("fingerprint", x.identity().Content.String()), slog.Int("failed_targets", x.failedTargets))
 	}
@@ -65,21 +68,29 @@
 	return list
 }
 
-// logGroup returns the log fields of an attempt: its target, the load report that
-// led to the choice, and its outcome.
+// logGroup returns the log fields of an attempt: its target and the load report that
+// led to the choice, or the other instance, and its outcome.
 func (a *attempt) logGroup(arrived time.Duration) slog.Attr {
-	fields := []any{slog.String("target", a.Target.ID), slog.String("address", a.Target.Address),
+	name := "attempt" + string(rune('0'+a.number))
+	if a.peer.IsValid() {
+		return a.outcomeGroup(name, []any{slog.String("peer", a.peer.String()), slog.Float64("sent_ms", millis(a.sentAt-arrived))})
+	}
+	return a.outcomeGroup(name, []any{slog.String("target", a.Target.ID), slog.String("address", a.Target.Address),
 		slog.Float64("sent_ms", millis(a.sentAt-arrived)), slog.Int("running", a.Load.Running), slog.Int("waiting", a.Load.Waiting),
 		slog.Float64("slowness", a.Load.Slowness), slog.Float64("load_age_ms", millis(a.Age)),
-		slog.Float64("expected_ms", millis(a.Expected))}
+		slog.Float64("expected_ms", millis(a.Expected))})
+}
+
+// outcomeGroup returns the log fields of an attempt with those of its end.
+func (a *attempt) outcomeGroup(name string, fields []any) slog.Attr {
 	if !a.finished {
-		return slog.Group("attempt"+string(rune('0'+a.number)), append(fields, slog.String("outcome", "cancelled"))...)
+		return slog.Group(name, append(fields, slog.String("outcome", "cancelled"))...)
 	}
 	fields = append(fields, slog.String("outcome", string(a.outcome)), slog.Float64("took_ms", millis(a.endedAt-a.sentAt)))
 	if a.err != nil {
 		fields = append(fields, slog.String("error", a.err.Error()))
 	}
-	return slog.Group("attempt"+string(rune('0'+a.number)), fields...)
+	return slog.Group(name, fields...)
 }
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -29,6 +29,7 @@
 	outcomeNoConfig    outcome = "no-configuration" // not run
 	outcomeNoRoute     outcome = "no-route"
 	outcomeNoTarget    outcome = "no-target"       // not run
+	outcomeUnreachable outcome = "unreachable"     // not run, no target of the service answers this instance, nor others that were asked
 	outcomeNoRoom      outcome = "no-room"         // not run, no capacity at targets or no memory for the body
 	outcomeTurnedAway  outcome = "turned-away"     // not run, the service is short of room for requests that are more urgent or need it for less time
 	outcomeLate        outcome = "late"            // not run, deadline reached before a target took it
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/relay"
 	"github.com/dogwoodroute/dogwoodroute/retry"
 )
 
@@ -52,6 +53,7 @@
 	// service does. Both are readable from any goroutine.
 	unreachable atomic.Pointer[map[string]bool]
 	cutOff      atomic.Bool
+	peers       *relay.Chooser
 	lost        chan struct{} // receives a value when a service becomes unreachable
 }
 
@@ -71,7 +73,8 @@
 		splitter: catalog.NewSplitter(o.Random.Float64), retryBudget: o.RetryBudget,
 		budgetOffset: o.Random.Float64(), instances: o.WeightedInstances, isolated: o.Isolated, probesPerTarget: o.ProbesPerTarget, warmup: o.Warmup, log: o.Log,
 		retryShares: make(map[string]*retry.BudgetShare), reports: quarantine.NewTracker(), onFailureReport: o.OnFailureReport,
-		metrics: o.Metrics, shortages: newShortages(o, placer), lost: make(chan struct{}, 1)}
+		metrics: o.Metrics, shortages: newShortages(o, placer), lost: make(chan struct{}, 1),
+		peers: relay.NewChooser(o.FailureDomain, o.Random)}
 }
 
 // run handles calls until the context ends.
@@ -79,6 +82,7 @@
 	s.loop.Run(ctx, maintenanceInterval, func(now time.Duration) {
 		s.updateFleet(now)
 		s.expireReports(now)
+		s.peers.Expire(now)
 		s.shortages.update(now)
 	})
 }
@@ -151,19 +155,34 @@
 	// caller should return after retryAfter then.
 	turnedAway bool
 	retryAfter time.Duration
+	// counted is true if the request was counted as demand for its service.
+	counted bool
 }
 
-// admit picks a service of the request's route by weight, sets it in the request, counts
-// the request for the retry budget and decides whether it is turned away.
-func (s *scheduler) admit(ctx context.Context, r *placement.Request) (admission, error) {
+// admit picks a service of the request's route by weight, or takes the chosen one if the
+// route leads there, sets it in the request, counts the request for the retry budget and decides
+// whether it is turned away. A request is counted once, by the instance that sends it to targets:
+// not if it was counted before, and not while its service is unreachable here.
+func (s *scheduler) admit(ctx context.Context, r *placement.Request, chosen string, counted bool) (admission, error) {
 	return owner.Call(ctx, s.loop, func(now time.Duration) admission {
-		r.Service = s.splitter.Next(r.Route)
-		s.retryShare(r.Service).Request(now)
+		r.Service = chosen
+		if !r.Route.LeadsTo(chosen) {
+			r.Service = s.splitter.Next(r.Route)
+		}
+		if s.placer.Unreachable(r.Service) {
+			return admission{hasTargets: true}
+		}
+		if !counted {
+			s.retryShare(r.Service).Request(now)
+		}
 		if !s.placer.HasTargets(r.Route, r.Service) {
-			return admission{}
+			return admission{counted: true}
+		}
+		if counted {
+			return admission{hasTargets: true}
 		}
 		retryAfter, turnedAway := s.shortages.offer(now, r)
-		return admission{hasTargets: true, turnedAway: turnedAway, retryAfter: retryAfter}
+		return admission{hasTargets: true, turnedAway: turnedAway, retryAfter: retryAfter, counted: true}
 	})
 }
 
@@ -338,7 +357,7 @@
 		}
 		s.placer.Ended(now, res.Target.Incarnation(), res.sentAt, route, res.Choice, outcome)
 		switch {
-		case outcome.ConnectionLost:
+		case outcome.NoConnection:
 			s.silent(now, res.sentAt, res.Target.Incarnation())
 		case outcome.Responded || outcome.Rejected:
 			s.answered(now, res.Target.Incarnation())
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -37,10 +38,12 @@
 // errNoHealthPath is the failure of a probe that was not sent.
 var errNoHealthPath = errors.New("the service has no path for probes")
 
-// selection is either a reserved target or the refusal if none was found.
+// selection is a reserved target, an instance that gets the request instead, or the refusal
+// if there is none.
 type selection struct {
 	reservation
-	refusal *response // nil if a target is reserved
+	peer    netip.Addr // not valid if a target is reserved
+	refusal *response  // nil if a target or an instance is selected
 	// reports are the load reports that led to a refusal, for the log.
 	reports []placement.Report
 }
@@ -49,7 +52,8 @@
 // waited for the maximum time. Only a first send waits, and only if those that wait
 // already leave room for it; a retry or hedge is refused if no target can take it
 // now.
-func (x *exchange) selectTarget(ctx context.Context, r *placement.Request, p purpose) selection {
+// While no target of the service answers, an instance that was not tried is selected.
+func (x *exchange) selectTarget(ctx context.Context, r *placement.Request, p purpose, triedPeers []netip.Addr) selection {
 	g := x.gateway
 	maxWait, retryAfter, err := g.scheduler.waitLimits(ctx, r)
 	if err != nil {
@@ -62,6 +66,9 @@
 		}
 	}()
 	for pause := initialPause; ; pause = min(2*pause, maxPause) {
+		if g.scheduler.unreachableServices()[r.Service] {
+			return x.selectPeer(ctx, r, p, triedPeers)
+		}
 		reports, err := x.collectReports(ctx, r, waiting)
 		if err != nil {
 			return selection{refusal: x.stoppedRefusal()}
@@ -183,7 +190,8 @@
 	// warmupLeft is how much longer the target is cold, if there is a report.
 	warmupLeft time.Duration
 	sentAt     time.Duration
-	// unanswered is set if the probe was to be sent, and nothing at the address has answered.
+	// unanswered is set if nothing at the address answered: no connection could be made, or no
+	// answer arrived in time.
 	unanswered bool
 }
 
@@ -194,7 +202,7 @@
 	d, sentAt := &g.options.Dialect, g.options.Now()
 	response, err := g.probe(ctx, t, false)
 	if err != nil || !isFrom(d, response, t) {
-		return probeAnswer{sentAt: sentAt, unanswered: err != nil && !errors.Is(err, errNoHealthPath)}
+		return probeAnswer{sentAt: sentAt, unanswered: noConnection(err) || timedOutAtTarget(err)}
 	}
 	load, hasLoad := d.ParseLoad(response.Header.Get(d.Load))
 	if !hasLoad { // without a load report the target counts as idle
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +25,7 @@
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 	"github.com/dogwoodroute/dogwoodroute/placement"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/relay"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -208,6 +211,9 @@
 func (noMetrics) TargetWarmup(string)           {}
 func (noMetrics) Unreachable(string, bool)      {}
 
+// relayPeers are the other instances that a gateway knows.
+var relayPeers = []relay.Peer{{IP: netip.MustParseAddr("10.0.0.1"), FailureDomain: "z", Weight: 1}, {IP: netip.MustParseAddr("10.0.0.2"), FailureDomain: "z", Weight: 1}}
+
 // fixture is a gateway in front of targets.
 type fixture struct {
 	gateway *gateway.Gateway
@@ -248,6 +254,12 @@
 
 // startUnconfigured starts a gateway without a configuration.
 func startUnconfigured(t *testing.T, targets ...*target) *fixture {
+	return startRelaying(t, nil, targets...)
+}
+
+// startRelaying starts a gateway without a configuration that can relay requests to the
+// instances of relayPeers.
+func startRelaying(t *testing.T, r gateway.Relay, targets ...*target) *fixture {
 	f := &fixture{targets: targets, healthPath: "/health", failureReports: make(chan quarantine.FailureReport, 100)}
 	f.view.Store(&catalog.View{})
 	begin := time.Now()
@@ -259,6 +271,7 @@
 		// Long, so that no report is ignored on a busy machine.
 		LocalReportWait: testTimeout, RemoteReportWait: testTimeout, Log: slog.New(slog.DiscardHandler),
 		OnPanic: func(string, any, []byte) { f.panics.Add(1) },
+		Relay:   r, RelayPeers: func() []relay.Peer { return slices.Clone(relayPeers) },
 		Metrics: noMetrics{}, Random: rand.New(rand.NewPCG(1, 2)),
 		OnFailureReport: func(s quarantine.FailureReport, urgent bool) { f.urgent.Store(urgent); f.failureReports <- s }, Now: func() time.Duration { return time.Since(begin) + time.Duration(f.clockAhead.Load()) }})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/node.go
+++ b/node/node.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
 
 	"github.com/dogwoodroute/dogwoodroute/fleet"
 	"github.com/dogwoodroute/dogwoodroute/gateway"
 	"github.com/dogwoodroute/dogwoodroute/internal/callerconn"
 	"github.com/dogwoodroute/dogwoodroute/metrics"
 	"github.com/dogwoodroute/dogwoodroute/quarantine"
+	"github.com/dogwoodroute/dogwoodroute/relay"
 )
 
 // Node is one load balancer instance. Run it once; Stop and Reload may be called
@@ -26,8 +28,10 @@
 	settings atomic.Pointer[Settings]
 	gateway  *gateway.Gateway
 	fleet    *fleet.Task
+	ip       netip.Addr // of this instance among its peers
 	metrics  *metrics.Metrics
 	resolver *resolver
+	relay    *relay.Client
 	now      func() time.Duration // time since New
 	servers  []*server
 	stop     chan struct{}
@@ -58,7 +62,7 @@
 		RetryBudget: o.Settings.retryBudget(), ProbesPerTarget: o.Settings.Bounds.ProbesPerTarget,
 		Warmup: o.Settings.warmupBounds(), DomainRegions: o.Settings.DomainRegions,
 		MemoryBytes: o.Settings.exchangeBytes(), CallerSendBuffer: o.Settings.sendBufferBytes(),
-		OnDemand: n.fleet.ReportDemand, Demand: n.fleet.Demand,
+		OnDemand: n.fleet.ReportDemand, Demand: n.fleet.Demand, Relay: n.relay, RelayPeers: n.relayPeers,
 		OnFailureReport: n.fleet.ReportFailure, OnPanic: n.panicked, Log: o.Log, Metrics: m, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: n.now})
 	if err := n.openServers(); err != nil {
 		return nil, err
@@ -72,6 +76,7 @@
 	if err != nil {
 		return errors.Wrap(err, "parse peer address")
 	}
+	n.ip = self.Addr()
 	listener, err := net.Listen("tcp", s.Addresses.Peers)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
@@ -85,10 +90,13 @@
 		return errors.Wrap(err, "parse caller address")
 	}
 	n.resolver = &resolver{domains: s.FailureDomains, regions: s.DomainRegions, port: callers.Port()}
+	n.relay = relay.NewClient(self.Port(), n.options.Identity)
 	n.fleet = fleet.New(fleet.Options{Listener: listener, IP: self.Addr(), Port: self.Port(), Domains: s.FailureDomains,
 		Domain: slices.Index(s.FailureDomains, s.FailureDomain), Capacity: s.Capacity, Incarnation: rand.Uint32(), FirstStart: s.FirstStart, Seeds: seeds,
 		Identity: n.options.Identity, Source: n.options.Source, Decoder: n.options.Decoder, Log: n.options.Log, Now: n.now, OnView: n.viewChanged,
 		OnPanic:             n.panicked,
+		CutOff:              func() bool { return n.gateway.CutOff() },
+		RegisterServices:    func(r grpc.ServiceRegistrar) { relay.Register(r, n.gateway, n.panicked) },
 		OnImplausibleDemand: n.metrics.ImplausibleDemand,
 		OnFailureReports:    func(list []quarantine.FailureReport) { n.gateway.AddFailureReports(list) }})
 	return nil
@@ -122,6 +130,19 @@
 	return nil
 }
 
+// relayPeers returns the other instances that can serve callers.
+func (n *Node) relayPeers() []relay.Peer {
+	domains := n.settings.Load().FailureDomains
+	snapshot := n.fleet.Snapshot()
+	list := make([]relay.Peer, 0, len(snapshot.Live))
+	for _, i := range snapshot.Live {
+		if i.IP != n.ip && i.Domain >= 0 && i.Domain < len(domains) {
+			list = append(list, relay.Peer{IP: i.IP, FailureDomain: domains[i.Domain], Weight: i.Weight, CutOff: i.CutOff})
+		}
+	}
+	return list
+}
+
 // newConns returns the connections of one server.
 func (n *Node) newConns() *callerconn.Conns {
 	return callerconn.NewConns(
--- a/node/options.go
+++ b/node/options.go
@@ -33,5 +33,5 @@
 	// LocalAddress is the IP address from which connections to targets are opened. Not valid:
 	// the system chooses it.
 	LocalAddress netip.Addr
-	Log         *slog.Logger
+	Log          *slog.Logger
 }
--- a/node/resolver.go
+++ b/node/resolver.go
@@ -22,6 +22,9 @@
 	// from which the list contains only these. Traffic within a domain is faster, and
 	// bytes between domains cost more.
 	minLocalInstances = 2
+	// minLocalShare is the share of the instances of the caller's failure domain that must
+	// reach targets so that the list contains only these. Fewer would get too many callers.
+	minLocalShare = 0.5
 )
 
 // resolveValidity returns how long callers may use a list of instances: as long as an
@@ -43,7 +46,8 @@
 // resolve returns the addresses of live instances in random order, for a list that is valid
 // for the given time. It returns only instances of the caller's failure domain if there are
 // at least minLocalInstances of them, and of these some by their weight if they differ. One
-// caller gets the same choice each time; callers behind one address get different ones. For
+// caller gets the same choice each time; callers behind one address get different ones.
+// Instances that reach no target are left out unless there are no others. For
 // a host with homes, it returns only instances in one of these or in the caller's region;
 // none if there are none. routes is nil before the first configuration.
 func (r *resolver) resolve(now time.Duration, s *fleet.Snapshot, routes *catalog.Matcher, o gateway.Locality, validity time.Duration) []string {
@@ -53,9 +57,11 @@
 	}
 	domain := slices.Index(r.domains, o.FailureDomain)
 	candidates := r.permitted(s.Live, routes, o)
-	local := slices.DeleteFunc(slices.Clone(candidates), func(i fleet.Instance) bool { return i.Domain != domain })
-	if len(local) >= minLocalInstances {
-		candidates = local
+	isLocal := func(i fleet.Instance) bool { return i.Domain == domain }
+	locals := countInstances(candidates, isLocal)
+	candidates = reachingTargets(candidates)
+	if n := countInstances(candidates, isLocal); n >= minLocalInstances && float64(n) >= minLocalShare*float64(locals) {
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(i fleet.Instance) bool { return !isLocal(i) })
 	}
 	chosen := chooseByWeight(candidates, caller)
 	all := make([]string, 0, len(chosen))
@@ -66,6 +72,25 @@
 	return all
 }
 
+func countInstances(list []fleet.Instance, match func(fleet.Instance) bool) int {
+	n := 0
+	for _, i := range list {
+		if match(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// reachingTargets returns the instances that reach targets, or all if none does.
+func reachingTargets(list []fleet.Instance) []fleet.Instance {
+	reaching := slices.DeleteFunc(slices.Clone(list), func(i fleet.Instance) bool { return i.CutOff })
+	if len(reaching) == 0 {
+		return list
+	}
+	return reaching
+}
+
 // regionOf returns the region of an instance, or "" if it is unknown.
 func (r *resolver) regionOf(i fleet.Instance) string {
 	if i.Domain < 0 || i.Domain >= len(r.domains) {
--- a/node/run.go
+++ b/node/run.go
@@ -43,6 +43,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer n.relay.Close()
 	n.options.Log.Info("start", "instance", n.options.Settings.ID, "failure_domain", n.options.Settings.FailureDomain,
 		"callers", n.options.Settings.Addresses.Callers, "store", n.options.Settings.StoreAddress)
 	group, ctx := errgroup.WithContext(ctx)
@@ -108,6 +109,7 @@
 			n.options.Log.Warn("server shutdown incomplete, requests in progress are cut", "error", err.Error(), "in_flight", n.gateway.InFlight())
 		}
 	}
+	n.gateway.AwaitRequests(ctx) // those that other instances relay
 	reports, cancelReports := context.WithTimeout(reports, min(reportTimeout, max(minReportTimeout, time.Until(end))))
 	defer cancelReports()
 	n.gateway.AwaitCrashChecks(reports)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -166,6 +166,8 @@
 	// ConnectionLost is true when Failed is, and the connection could not be made
 	// or broke before the response.
 	ConnectionLost bool
+	// NoConnection is true when ConnectionLost is, and no connection could be made.
+	NoConnection bool
 	// Rejected is true when the target refused to run the request.
 	Rejected bool
 	// Latency is the time from the send to the end of the request.
--- a/placement/reachability.go
+++ b/placement/reachability.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// unreachableAfter is the number of targets of a service, or all of them if there are
-	// fewer, that must fail to answer in a row before the service counts as unreachable.
+	// unreachableAfter is the number of exchanges in a row, each with another target if the
+	// service has as many, that must find no answer before the service counts as unreachable.
 	// Targets that crash at the same time are few, and the next one that is asked answers.
 	unreachableAfter = 3
 	// cutOffDelay is the time for which no target of any service must answer after one
@@ -24,8 +24,10 @@
 type reachability struct {
 	// answeredAt is when a target last answered, in whatever way.
 	answeredAt time.Duration
-	// silent holds the targets that did not answer an exchange that began later.
-	silent map[catalog.Incarnation]bool
+	// silent holds the targets that did not answer an exchange that began later, failures
+	// is the number of these exchanges.
+	silent   map[catalog.Incarnation]bool
+	failures int
 	// unreachable is set once enough targets are silent, at lostAt, until one answers.
 	unreachable bool
 	lostAt      time.Duration
@@ -46,7 +48,7 @@
 		regained, after = true, now-r.lostAt
 	}
 	clear(r.silent)
-	r.unreachable = false
+	r.failures, r.unreachable = 0, false
 	return regained, after
 }
 
@@ -61,7 +63,7 @@
 }
 
 // Silent records that a target did not answer an exchange that began at sentAt, or that no
-// connection to it could be made. It reports whether its service is unreachable from now on.
+// connection to it could be made. A target that breaks off its answer is not silent. It reports whether its service is unreachable from now on.
 // An exchange that began before another target answered does not count: it may have failed
 // together with others, and the path to the service works.
 func (p *Placer) Silent(now, sentAt time.Duration, id catalog.Incarnation) (lost bool) {
@@ -74,7 +76,8 @@
 		return false
 	}
 	r.silent[id] = true
-	if r.unreachable || p.silentTargets(r) < min(unreachableAfter, len(p.services[t.Service])) {
+	r.failures++
+	if r.unreachable || r.failures < unreachableAfter || p.silentTargets(r) < min(unreachableAfter, len(p.services[t.Service])) {
 		return false
 	}
 	r.unreachable, r.lostAt = true, now
