gateway: an instance without a path to targets reports no crashes

Cause: the crash check probes the target only, and takes its silence for a crash although no other target answers either. The same class as the refusals of a cut instance: its own view of the targets is taken for their state.

Change: a target counts as down only if another one answers, which has not failed under the same request. Otherwise the check is made again when one does; a target that has started again meanwhile counts as down. The request does not wait for that.

Evidence: TestCrashIsReportedOnlyByAnInstanceThatReachesTargets failed before (a report in each case).

--- a/gateway/failurereports_test.go
+++ b/gateway/failurereports_test.go
@@ -240,6 +240,39 @@
 	is.Equal(len(f.failureReports), 0)
 }
 
+// Guards against a block of a request that was in progress when this instance lost its path to
+// the targets, and against a crash that stays without a report since the others were down, too.
+func TestCrashIsReportedOnlyByAnInstanceThatReachesTargets(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		t.Run(strconv.FormatBool(crashed), func(t *testing.T) {
+			is := is.New(t)
+			var f *fixture
+			lose := func(*target, net.Conn, *http.Request, []byte) bool {
+				for _, s := range f.targets {
+					s.cut.Store(true)
+				}
+				return false
+			}
+			f = start(t, startTarget(t, "a", lose), startTarget(t, "b", lose), startTarget(t, "c", lose))
+			is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 502)
+			time.Sleep(300 * time.Millisecond) // until the first crash check has ended
+			is.Equal(len(f.failureReports), 0)
+			for _, s := range f.targets {
+				s.cut.Store(crashed && len(s.received()) > 0)
+			}
+			if crashed {
+				f.awaitFailureReport(t)
+				return
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			f.gateway.AwaitCrashChecks(ctx)
+			is.NoErr(ctx.Err())
+			is.Equal(len(f.failureReports), 0)
+		})
+	}
+}
+
 // hang keeps the request until the gateway closes the connection.
 func hang(s *target, c net.Conn, _ *http.Request, _ []byte) bool {
 	s.ran.Add(1)
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -78,8 +78,10 @@
 	replaced atomic.Bool
 	// healthPath is the path for probes.
 	healthPath atomic.Value // string
-	load       atomic.Value // string
-	health     atomic.Int32 // status of probes
+	// cut makes the target close connections without an answer.
+	cut    atomic.Bool
+	load   atomic.Value // string
+	health atomic.Int32 // status of probes
 	// healthBody is the body of the response to a probe.
 	healthBody string
 	// healthHeader holds additional header lines of the response to a probe.
@@ -150,6 +152,9 @@
 		if err != nil {
 			return
 		}
+		if s.cut.Load() {
+			return
+		}
 		if r.URL.Path == s.healthPath.Load() && !s.replaced.Load() {
 			s.probes.Add(1)
 			s.answerProbe(conn, r)
--- a/placement/reachability.go
+++ b/placement/reachability.go
@@ -161,6 +161,21 @@
 	return list[:p.probes.take(now, len(list), 0)]
 }
 
+// AnsweredSince reports whether any target has answered since a time.
+func (p *Placer) AnsweredSince(at time.Duration) bool { return p.answeredAt > at }
+
+// RandomTargets returns at most n random targets of any service that match and do not ask for
+// a pause.
+func (p *Placer) RandomTargets(now time.Duration, n int, match func(*catalog.Target) bool) []*catalog.Target {
+	var list []*catalog.Target
+	for _, t := range p.targets { // maps are iterated in random order
+		if len(list) < n && now >= t.pausedUntil && match(t.Target) {
+			list = append(list, t.Target)
+		}
+	}
+	return list
+}
+
 func (p *Placer) reach(service string) *reachability {
 	r := p.reachabilities[service]
 	if r == nil {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -122,6 +122,19 @@
 	return 0
 }
 
+// Blames reports whether a target failed under a request, or under others for the same
+// resource, since the last completed run.
+func (t *Tracker) Blames(request Identity, target uint64) bool {
+	for _, key := range []poison.Fingerprint{request.Content, request.Resource} {
+		if r := t.records[key]; r != nil {
+			if _, failed := r.failures[target]; failed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // BlockedFor returns how long a request is still blocked that is held back from limit
 // failed targets on, or from one more with those of other requests for the same resource.
 // It returns 0 if the request is not blocked.
