caller: leave an instance that reaches no target for another one

The caller library waited for the time to come back that it named, paid for the next try from the budget of retries, and chose the instance again for the next request, although others reached the targets.

Cause: the refusal was taken for the state of the targets; it is the view of one instance.

Change: after a "no-target" that says "not run", the instance is avoided for a second and the request goes on to one that was not tried and did not fail lately. If there is none, it waits and pays as before, so an outage of the targets costs one more try an instance and second.

Evidence: TestInstanceWithoutTargetsIsLeftForAnother failed before, with the first refusal as the result of the call.

--- a/caller/call.go
+++ b/caller/call.go
@@ -24,6 +24,7 @@
 	id      string
 	// needsTicket is set for a non-idempotent request, which carries a ticket.
 	needsTicket bool
+	instances   []entry.ResolvedInstance // of the last resolve answer
 	instance    entry.ResolvedInstance
 	ticket      string
 	attempts    int // attempts so far
@@ -96,6 +97,7 @@
 	if err != nil {
 		return &prepareError{"resolve", err}
 	}
+	c.instances = resolution.Instances
 	c.instance = c.client.resolver.choose(resolution.Instances, c.tried)
 	c.tried[c.instance.Address] = true
 	if !c.needsTicket {
@@ -187,7 +189,13 @@
 		retry = !c.needsTicket && !c.mayHaveRun // the route is non-idempotent
 		c.needsTicket = c.needsTicket || retry
 		return retry, 0
-	case refusal.Overload, refusal.NoTarget:
+	case refusal.NoTarget:
+		c.client.resolver.markFailed(c.instance.Address)
+		if r.Execution == refusal.NotRun && c.client.resolver.hasAlternative(c.instances, c.tried) {
+			return true, 0 // the path of this instance to the targets may be lost, not that of others
+		}
+		return c.client.retryBudget.withdraw(), pause
+	case refusal.Overload:
 		return c.client.retryBudget.withdraw(), pause
 	case refusal.AttemptFailed:
 		return !c.needsTicket && c.client.retryBudget.withdraw(), pause
--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -171,6 +171,38 @@
 	is.Equal(f.resolves, 1)
 }
 
+// Guards against callers that wait for, and keep choosing, an instance that reaches no target
+// while another one does, and against tries without end while none does.
+func TestInstanceWithoutTargetsIsLeftForAnother(t *testing.T) {
+	is := is.New(t)
+	f, client := startInstances(t, func(_ int, s receivedRequest, w http.ResponseWriter) {
+		if s.instance == "a" {
+			w.Header().Set(refusal.HeaderRetry, "60")
+			refuse(w, refusal.NoTarget, refusal.NotRun)
+			return
+		}
+		respondOK(w)
+	}, "a", "b")
+	begin := time.Now()
+	for range 200 {
+		_, err := send(client, false)
+		is.NoErr(err)
+	}
+	refused := 0
+	for _, r := range f.requests() {
+		if r.instance == "a" {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+	is.True(refused <= 1+int(time.Since(begin)/time.Second)) // an instance is avoided for a second
+
+	f, client = startInstances(t, func(_ int, _ receivedRequest, w http.ResponseWriter) { refuse(w, refusal.NoTarget, refusal.NotRun) }, "a", "b")
+	_, err := send(client, false)
+	is.True(err != nil)
+	is.True(len(f.requests()) <= 3) // one retry for the other instance, one of the budget
+}
+
 // Guards against retrying after a refusal for which a retry is useless or unsafe.
 func TestFinalRefusals(t *testing.T) {
 	for _, c := range []struct {
--- a/caller/resolve.go
+++ b/caller/resolve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -140,6 +141,15 @@
 	r.avoidUntil[address] = now.Add(avoidDuration)
 }
 
+// hasAlternative reports whether there is an instance that was not tried and did not fail
+// recently.
+func (r *resolver) hasAlternative(instances []entry.ResolvedInstance, tried map[string]bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(instances, func(i entry.ResolvedInstance) bool { return !tried[i.Address] && !now.Before(r.avoidUntil[i.Address]) })
+}
+
 // choose returns an instance with a probability proportional to its weight. It
 // prefers instances that this request has not tried and that did not fail recently,
 // then those that failed recently, then those already tried.
