gateway: what a target says counts although its answer breaks off

A target that leaves, or wants nothing for some seconds, and whose answer breaks off after its head was sent requests again as soon as its suspension of 0.3 s ended.

Cause: advice was read from complete answers only, of requests and of probes.

Change: it is read once the head has arrived. An answer that breaks off and says nothing does not end what the target said before.

Evidence: TestAdviceOfAnAnswerThatBreaksOffCounts failed before (502 instead of 503: the target got the next request).

--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -76,3 +77,22 @@
 	is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 503) // also if there is no other
 	is.Equal(f.targets[0].ran.Load(), int64(1))
 }
+
+// Guards against requests to a target whose answer said that it leaves, or asked for a pause, and
+// broke off after its head.
+func TestAdviceOfAnAnswerThatBreaksOffCounts(t *testing.T) {
+	for _, advice := range []string{"Leaving: 1", "Pause-Ms: 600000"} {
+		t.Run(advice, func(t *testing.T) {
+			is := is.New(t)
+			cut := func(s *target, conn net.Conn, r *http.Request, _ []byte) bool {
+				s.ran.Add(1)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nId: %s\r\n%s\r\nContent-Length: 100\r\n\r\n", r.Header.Get("Id"), advice)
+				return false
+			}
+			f := start(t, startTarget(t, "a", cut))
+			is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 502)
+			is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 503)
+			is.Equal(f.targets[0].ran.Load(), int64(1))
+		})
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,30 +83,46 @@
 	g := x.gateway
 	resp, err := g.client.Do(ctx, request)
 	arrived()
-	if err == nil {
-		var body segments.Buffer
-		memory := x.memory.newResponseBody(request.Target)
-		err = body.Fill(resp.Body, resp.ContentLength, maxResponseBytes, memory.reserve)
-		_ = resp.Body.Close() // Fill has already detected an incomplete body
-		if err == nil {
-			e := x.classify(resp, &body)
-			if e.response != nil {
-				e.response.memory = memory
-			}
-			e.endedAt = g.options.Now()
-			if load, ok := g.options.Dialect.ParseLoad(resp.Header.Get(g.options.Dialect.Load)); ok {
-				e.load = load
-			}
-			if resp.StatusCode != http.StatusMisdirectedRequest { // that is the response of another target
-				e.advice, e.advised = g.options.Dialect.ParseAdvice(resp.StatusCode, resp.Header), true
-			}
-			return e
+	if err != nil {
+		var failed *transport.Error
+		return x.failedAttempt(ctx, err, errors.As(err, &failed) && failed.NotSent)
+	}
+	var body segments.Buffer
+	memory := x.memory.newResponseBody(request.Target)
+	err = body.Fill(resp.Body, resp.ContentLength, maxResponseBytes, memory.reserve)
+	_ = resp.Body.Close() // Fill has already detected an incomplete body
+	var e attemptEnd
+	if err != nil {
+		e = x.failedAttempt(ctx, err, false)
+	} else {
+		e = x.classify(resp, &body)
+		if e.response != nil {
+			e.response.memory = memory
+		}
+		e.endedAt = g.options.Now()
+		if load, ok := g.options.Dialect.ParseLoad(resp.Header.Get(g.options.Dialect.Load)); ok {
+			e.load = load
 		}
 	}
-	e := attemptEnd{outcome: attemptBroken, err: err, endedAt: g.options.Now()}
-	var failed *transport.Error
+	if resp.StatusCode != http.StatusMisdirectedRequest { // that is the response of another target
+		e.advice, e.advised = g.parseAdvice(resp, err == nil)
+	}
+	return e
+}
+
+// parseAdvice returns what a target says in a response. One that broke off after its head only
+// counts if it says something: it does not end what the target said before.
+func (g *Gateway) parseAdvice(resp *http.Response, complete bool) (advice placement.Advice, advised bool) {
+	advice = g.options.Dialect.ParseAdvice(resp.StatusCode, resp.Header)
+	return advice, complete || advice != (placement.Advice{})
+}
+
+// failedAttempt returns the end of an attempt without a complete response. notSent is true if it
+// certainly reached no target.
+func (x *exchange) failedAttempt(ctx context.Context, err error, notSent bool) attemptEnd {
+	e := attemptEnd{outcome: attemptBroken, err: err, endedAt: x.gateway.options.Now()}
 	switch {
-	case errors.As(err, &failed) && failed.NotSent:
+	case notSent:
 		e.outcome = attemptNotSent
 	case errors.Is(err, segments.ErrNoMemory):
 		e.outcome = attemptNoMemory
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"slices"
 	"time"
 
@@ -93,7 +92,13 @@
 	r.planLastHedge()
 	service, request := r.request.Service, r.relayRequest(a)
 	r.runAttempt(a, expected, func(arrived func()) attemptEnd { return r.sendRelay(r.ctx, peer, request, arrived) },
-		func(e attemptEnd) { r.gateway.scheduler.relayEnded(service, peer, e.outcome.relayResult()) })
+		func(e attemptEnd) {
+			result := e.outcome.relayResult()
+			if result == relay.Lost && errors.Is(e.err, context.Canceled) {
+				result = relay.Abandoned
+			}
+			r.gateway.scheduler.relayEnded(service, peer, result)
+		})
 }
 
 // relayRequest returns the request for another instance.
@@ -116,19 +121,12 @@
 			return e
 		}
 	}
-	e := attemptEnd{outcome: attemptBroken, err: err, endedAt: x.gateway.options.Now()}
 	var failed *relay.Error
-	switch {
-	case errors.As(err, &failed) && failed.NotRun:
-		e.outcome = attemptNotSent
-	case errors.Is(err, segments.ErrNoMemory):
-		e.outcome = attemptNoMemory
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
-		e.outcome = attemptTimedOut
-	case ctx.Err() != nil:
-		e.outcome = attemptCancelled
-	}
-	return e
+	notRun := errors.As(err, &failed) && failed.NotRun
+	if cause := ctx.Err(); cause != nil { // gRPC reports it as a status
+		err = errors.Wrap(cause, err.Error())
+	}
+	return x.failedAttempt(ctx, err, notRun)
 }
 
 // readRelayed reads the body of the response of another instance and returns its outcome.
--- a/gateway/select.go
+++ b/gateway/select.go
@@ -202,13 +202,18 @@
 	d, sentAt := &g.options.Dialect, g.options.Now()
 	response, err := g.probe(ctx, t, false)
 	if err != nil || !isFrom(d, response, t) {
-		return probeAnswer{sentAt: sentAt, unanswered: noConnection(err) || timedOutAtTarget(err)}
+		answer := probeAnswer{sentAt: sentAt, unanswered: noConnection(err) || timedOutAtTarget(err)}
+		if response != nil && isFrom(d, response, t) {
+			answer.advice, answer.advised = g.parseAdvice(response, false)
+		}
+		return answer
 	}
 	load, hasLoad := d.ParseLoad(response.Header.Get(d.Load))
 	if !hasLoad { // without a load report the target counts as idle
 		load = placement.Load{Slots: t.Slots, Slowness: 1}
 	}
-	answer := probeAnswer{advice: d.ParseAdvice(response.StatusCode, response.Header), advised: true, sentAt: sentAt}
+	answer := probeAnswer{sentAt: sentAt}
+	answer.advice, answer.advised = g.parseAdvice(response, true)
 	switch {
 	case response.StatusCode == http.StatusOK || doesNotKnowPath(d, response):
 		answer.result = placement.ProbeWell
