gateway: what a target says in a relayed answer binds the sender, too

An instance without a path to the targets passes on answers that came by way of another instance. If such an answer says that its target leaves, or names a limit, the instance did not read that, and sent the target requests once it reached it again (DRAIN).

Cause: the instance that relayed the request did not know which target had answered.

Change: a relayed response names its target, and its advice is recorded as that of a direct one, but for a pause: that concerns the instance to which the target said it.

Evidence: TestAdviceInRelayedAnswersCounts failed before: 41 of the requests after the path was back went to the target that leaves.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -202,7 +202,7 @@
 	r.runAttempt(a, expected, func(arrived func()) attemptEnd { return r.send(r.ctx, outgoing, arrived) }, func(e attemptEnd) {
 		r.gateway.targetBodies.release(res.Target.Incarnation(), r.bodyBytes)
 		if e.advised {
-			r.gateway.scheduler.recordAdvice(res, e.advice)
+			r.gateway.scheduler.recordAdvice(res.Target.Incarnation(), res.sentAt, e.advice)
 		}
 		r.gateway.scheduler.recordEnd(res, r.request.Route, e.placementOutcome(res), e.load)
 	})
@@ -245,6 +245,9 @@
 	a := f.attempt
 	a.attemptEnd, a.finished = f.attemptEnd, true
 	r.gateway.options.Metrics.Attempt(string(a.outcome))
+	if a.response != nil && !a.peer.IsValid() {
+		a.response.target = a.Target.Incarnation()
+	}
 	switch a.outcome {
 	case attemptServed:
 		r.gateway.responseSizes.observe(r.request.Route.Name, a.response.body.Len())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/owner"
 	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 	"github.com/dogwoodroute/dogwoodroute/placement"
@@ -98,6 +99,9 @@
 				result = relay.Abandoned
 			}
 			r.gateway.scheduler.relayEnded(service, peer, result)
+			if e.advised {
+				r.gateway.scheduler.recordAdvice(e.response.target, a.sentAt, e.advice)
+			}
 		})
 }
 
@@ -142,8 +146,15 @@
 	if err := body.Fill(source, resp.BodyBytes, maxResponseBytes, memory.reserve); err != nil {
 		return attemptEnd{}, err
 	}
-	return attemptEnd{outcome: attemptRelayed, response: &response{status: resp.Status, header: resp.Header, body: &body, memory: memory,
-		outcome: outcome(resp.Outcome)}}, nil
+	e := attemptEnd{outcome: attemptRelayed, response: &response{status: resp.Status, header: resp.Header, body: &body, memory: memory,
+		outcome: outcome(resp.Outcome), target: catalog.Incarnation{ID: resp.TargetID, StartUnixMS: resp.TargetStartUnixMS}}}
+	if resp.TargetID != "" {
+		// Callers get the answer from this instance, so what it says binds it, but for a pause, which
+		// concerns the other one.
+		e.advice, e.advised = x.gateway.options.Dialect.ParseAdvice(resp.Status, resp.Header), true
+		e.advice.RetryAfter = 0
+	}
+	return e, nil
 }
 
 // relayResult returns what an outcome says about the instance to which a request was sent.
@@ -196,7 +207,7 @@
 // relayedResponse returns a response for the instance that relayed the request.
 func relayedResponse(resp *response) *relay.Response {
 	r := &relay.Response{Status: resp.status, Header: resp.header, BodyBytes: resp.body.Len(), Outcome: string(resp.outcome),
-		RetryAfter: resp.retryAfter, NotRun: resp.retryAfter > 0}
+		RetryAfter: resp.retryAfter, NotRun: resp.retryAfter > 0, TargetID: resp.target.ID, TargetStartUnixMS: resp.target.StartUnixMS}
 	switch resp.outcome {
 	case outcomeUnreachable, outcomeNoTarget, outcomeStopped, outcomeNoConfig:
 		r.Unable = r.NotRun
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -148,3 +148,24 @@
 type failingReader struct{}
 
 func (*failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against requests to a target whose departure this instance has passed on in the answer to
+// a relayed request, once it reaches the target again.
+func TestAdviceInRelayedAnswersCounts(t *testing.T) {
+	is := is.New(t)
+	r := &countingRelay{send: func(int, *relay.Request, [][]byte) (*relay.Response, io.Reader, error) {
+		return &relay.Response{Status: 200, Header: map[string][]string{"Leaving": {"1"}}, Outcome: "served", TargetID: "a"}, strings.NewReader(""), nil
+	}}
+	f := startCutOff(t, r)
+	got := f.send(t, "POST", "/unsafe/x", "")
+	is.Equal(got.status, 200)
+	is.Equal(got.header.Get("Leaving"), "1")
+	for _, s := range f.targets {
+		s.reopen(t)
+	}
+	awaitTrue(t, func() bool { return f.send(t, "POST", "/unsafe/x", "").status == 200 && f.total() > 0 })
+	for range 100 {
+		is.Equal(f.send(t, "POST", "/unsafe/x", "").status, 200)
+	}
+	is.Equal(f.targets[0].ran.Load(), int64(0))
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dogwoodroute/dogwoodroute/catalog"
 	"github.com/dogwoodroute/dogwoodroute/internal/segments"
 )
 
@@ -14,6 +15,8 @@
 	header http.Header      // set only for a response forwarded from a target
 	body   *segments.Buffer // nil if it is empty
 	memory *bodyMemory      // of the body, nil if there is none
+	// target is the one that gave the response, without an ID if none did.
+	target catalog.Incarnation
 	// retryAfter is set on refusals, which state that the request did not run.
 	retryAfter time.Duration
 	outcome    outcome
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -239,11 +239,9 @@
 	s.metrics.TargetWarmup(state)
 }
 
-// recordAdvice records what a target says in the response to a request.
-func (s *scheduler) recordAdvice(res reservation, a placement.Advice) {
-	s.loop.Post(func(now time.Duration) {
-		s.advised(now, res.Target.Incarnation(), a, placement.Exchange{SentAt: res.sentAt})
-	})
+// recordAdvice records what a target says in the response to a request that was sent at a time.
+func (s *scheduler) recordAdvice(id catalog.Incarnation, sentAt time.Duration, a placement.Advice) {
+	s.loop.Post(func(now time.Duration) { s.advised(now, id, a, placement.Exchange{SentAt: sentAt}) })
 }
 
 // advised records what a target says about the requests that it wants. It runs in the
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -126,6 +126,17 @@
 	return s
 }
 
+// reopen listens again at the address of a listener that was closed.
+func (s *target) reopen(t *testing.T) {
+	listener, err := net.Listen("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listener = listener
+	s.done.Go(s.accept)
+	t.Cleanup(func() { _ = listener.Close() })
+}
+
 func (s *target) accept() {
 	for {
 		conn, err := s.listener.Accept()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,7 +60,7 @@
 	var got *relay.Request
 	h := &handler{accept: accepting, serve: func(_ context.Context, r *relay.Request, body []byte) (*relay.Response, [][]byte) {
 		got = r
-		return &relay.Response{Status: 201, Header: map[string][]string{"A": {"1", "2"}}, BodyBytes: int64(len(body)), Outcome: "served"}, [][]byte{body[:7], body[7:]}
+		return &relay.Response{Status: 201, Header: map[string][]string{"A": {"1", "2"}}, BodyBytes: int64(len(body)), Outcome: "served", TargetID: "t", TargetStartUnixMS: 5}, [][]byte{body[:7], body[7:]}
 	}}
 	peer, client := startServer(t, h)
 	sent := &relay.Request{Method: "POST", URI: "/x?y=1", Host: "h", Header: map[string][]string{"B": {"3"}}, BodyBytes: int64(len(long)), Caller: "1.2.3.4:5",
@@ -69,6 +69,8 @@
 	is.NoErr(err)
 	is.Equal(got, sent)
 	is.Equal(response.Status, 201)
+	is.Equal(response.TargetID, "t")
+	is.Equal(response.TargetStartUnixMS, int64(5))
 	is.Equal(response.Header["A"], []string{"1", "2"})
 	content, err := io.ReadAll(body)
 	is.NoErr(err)
