transport: an answer whose status is none fails its attempt

What callers saw: an answer with a status below 100, such as 000, did not reach them, but the request hung until its deadline (504), or got what the target sent next on the connection as its answer.

Cause: net/http accepts any three digits as a status, and what is below 200 was skipped as an interim response.

Change: a status below 100 is an error of the attempt, so the connection is closed, the caller gets 502 at once, and an idempotent request goes on to another target. This holds for requests and probes of both programs and for the caller library, which share the code.

--- a/gateway/cuthead_test.go
+++ b/gateway/cuthead_test.go
@@ -60,3 +60,15 @@
 		}
 	}
 }
+
+// Guards against an answer with status 000 that a caller gets, or for whose successor it waits
+// until its deadline.
+func TestAnswerWithoutAStatusIsNone(t *testing.T) {
+	is := is.New(t)
+	none := func(_ *target, conn net.Conn, r *http.Request, _ []byte) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 X\r\nId: %s\r\nSignature: a\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return true
+	}
+	is.Equal(start(t, startTarget(t, "a", none)).send(t, "POST", "/unsafe/x", "", "Deadline-Ms", "10000").status, 502)
+	is.Equal(start(t, startTarget(t, "a", none), startTarget(t, "b", run)).send(t, "GET", "/safe/x", "", "Deadline-Ms", "10000").status, 200)
+}
--- a/transport/client.go
+++ b/transport/client.go
@@ -182,6 +182,9 @@
 			return nil, err
 		}
 		response.Request = nil // conn.request is reused by the next exchange
+		if response.StatusCode < http.StatusContinue { // net/http accepts any three digits
+			return nil, errors.Errorf("status %q is no HTTP status", response.Status)
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("the target switched protocols without a request to do so")
 		}
