soak: instances that lose the path to all targets

Some instances, at times all, are cut off from all targets for up to four seconds: their connections fall silent, are reset, or live on while new ones are refused. The proxies of the targets tell instances apart by the address from which they connect.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,6 +61,7 @@
 	}},
 	{"callers' link", false, func(ctx context.Context, f *fleet, r *rand.Rand) { disturbProxy(ctx, f.anyInstance(r).callerProxy, r) }},
 	{"target's link", false, func(ctx context.Context, f *fleet, r *rand.Rand) { disturbProxy(ctx, f.anyTarget(r).proxy, r) }},
+	{"instances lose all targets", false, func(ctx context.Context, f *fleet, r *rand.Rand) { f.loseTargets(ctx, r) }},
 	{"store's link", false, func(ctx context.Context, f *fleet, r *rand.Rand) { disturbProxy(ctx, f.anyInstance(r).storeProxy, r) }},
 	{"store down", false, func(ctx context.Context, f *fleet, r *rand.Rand) {
 		f.store.FailCalls(func(*http.Request) bool { return true })
@@ -123,6 +126,35 @@
 	p.setState(proxyState{})
 }
 
+// loseTargets cuts some instances, at times all, off from all targets: their connections fall
+// silent, are reset, or live on while new ones are refused. It returns when the cut has ended.
+func (f *fleet) loseTargets(ctx context.Context, r *rand.Rand) {
+	share := 0.2 + 0.9*r.Float64()
+	silent, refused := proxyState{dropToServer: true, dropToClient: true}, proxyState{resetNew: true}
+	state, reset := []proxyState{silent, refused, refused}[r.IntN(3)], r.IntN(2) == 0
+	var sources []string
+	for _, i := range f.instances {
+		if r.Float64() < share {
+			sources = append(sources, i.sourceAddress())
+		}
+	}
+	set := func(s proxyState) {
+		for _, t := range f.targets {
+			for _, source := range sources {
+				t.proxy.setSourceState(source, s)
+			}
+		}
+	}
+	set(state)
+	if state == refused && reset {
+		for _, t := range f.targets {
+			t.proxy.resetIf(func(c net.Conn) bool { return slices.Contains(sources, sourceOf(c)) })
+		}
+	}
+	backoff.Sleep(ctx, randomDuration(r, 4*time.Second))
+	set(proxyState{})
+}
+
 func (f *fleet) anyInstance(r *rand.Rand) *instance { return f.instances[r.IntN(len(f.instances))] }
 func (f *fleet) anyTarget(r *rand.Rand) *target     { return f.targets[r.IntN(len(f.targets))] }
 
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -60,6 +61,15 @@
 	return i, i.writeSettings()
 }
 
+// sourceAddress returns the IP address from which the instance connects to targets.
+func (i *instance) sourceAddress() string {
+	host, _, err := net.SplitHostPort(i.settings.Addresses.Callers)
+	if err != nil {
+		panic(err) // the address is made by network.address
+	}
+	return host
+}
+
 // writeSettings replaces the settings file at once, so that no process reads a part of it.
 func (i *instance) writeSettings() error {
 	next := i.settingsPath + ".next"
@@ -84,7 +94,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "open log of %s", i.settings.ID)
 	}
-	command := exec.Command(i.program)
+	command := exec.Command(i.program, "--local-address", i.sourceAddress())
 	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+i.settingsPath)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -29,8 +29,10 @@
 
 	mu    sync.Mutex
 	state proxyState
-	conns map[net.Conn]struct{}
-	tasks sync.WaitGroup
+	// sources holds the faults for clients with an IP address, in place of state.
+	sources map[string]proxyState
+	conns   map[net.Conn]struct{}
+	tasks   sync.WaitGroup
 }
 
 const (
@@ -60,18 +62,40 @@
 	p.state = s
 }
 
-func (p *proxy) currentState() proxyState {
+// setSourceState changes the faults for clients with an IP address; the zero value ends them.
+func (p *proxy) setSourceState(ip string, s proxyState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.sources == nil {
+		p.sources = make(map[string]proxyState)
+	}
+	if p.sources[ip] = s; s == (proxyState{}) {
+		delete(p.sources, ip)
+	}
+}
+
+// stateFor returns the faults for clients with an IP address.
+func (p *proxy) stateFor(ip string) proxyState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.sources[ip]; ok {
+		return s
+	}
 	return p.state
 }
 
+func sourceOf(client net.Conn) string { return client.RemoteAddr().(*net.TCPAddr).IP.String() }
+
 // reset closes all open connections with a TCP reset.
-func (p *proxy) reset() {
+func (p *proxy) reset() { p.resetIf(func(net.Conn) bool { return true }) }
+
+func (p *proxy) resetIf(match func(net.Conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		resetConnection(c)
+		if match(c) {
+			resetConnection(c)
+		}
 	}
 }
 
@@ -96,7 +120,7 @@
 		if err != nil {
 			return
 		}
-		if p.currentState().resetNew {
+		if p.stateFor(sourceOf(client)).resetNew {
 			resetConnection(client)
 			continue
 		}
@@ -108,7 +132,8 @@
 	p.track(client)
 	defer p.forget(client)
 	// From the client's address, by which instances tell callers apart.
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: client.RemoteAddr().(*net.TCPAddr).IP}}
+	source := sourceOf(client)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
 	server, err := dialer.Dial("tcp", p.upstream)
 	if err != nil { // no server listens, so the client receives a reset, too
 		resetConnection(client)
@@ -117,8 +142,8 @@
 	p.track(server)
 	defer p.forget(server)
 	var both sync.WaitGroup
-	both.Go(func() { p.forward(server, client, func(s proxyState) bool { return s.dropToServer }) })
-	both.Go(func() { p.forward(client, server, func(s proxyState) bool { return s.dropToClient }) })
+	both.Go(func() { p.forward(server, client, source, func(s proxyState) bool { return s.dropToServer }) })
+	both.Go(func() { p.forward(client, server, source, func(s proxyState) bool { return s.dropToClient }) })
 	both.Wait()
 }
 
@@ -135,17 +160,17 @@
 	_ = c.Close()
 }
 
-// forward copies data in one direction. Dropped data leaves a gap in the stream, so
+// forward copies data of a client with an IP address in one direction. Dropped data leaves a gap in the stream, so
 // when data arrives after the dropping has ended, the connection is reset.
-func (p *proxy) forward(to, from net.Conn, dropping func(proxyState) bool) {
+func (p *proxy) forward(to, from net.Conn, source string, dropping func(proxyState) bool) {
 	buffer := make([]byte, chunkBytes)
 	dropped := false
 	for {
 		n, err := from.Read(buffer)
-		state := p.currentState()
+		state := p.stateFor(source)
 		if n > 0 && state.delay > 0 {
 			time.Sleep(state.delay)
-			state = p.currentState()
+			state = p.stateFor(source)
 		}
 		switch {
 		case n > 0 && dropping(state):
@@ -158,7 +183,7 @@
 			}
 		}
 		if err != nil {
-			for dropping(p.currentState()) { // while data is dropped, the end of the stream is hidden, too
+			for dropping(p.stateFor(source)) { // while data is dropped, the end of the stream is hidden, too
 				time.Sleep(dropPollInterval)
 			}
 			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF && !dropped {
