node, fleet: tests of lists and membership with instances that are cut off

Guards against lists for callers that name instances without a path to targets, leave callers without any, or send all callers of a domain to the few of it that still reach targets; and against instances that do not learn who is cut off, or keep to it after a restart.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -70,6 +71,7 @@
 	*fleet.Task
 	failureReports atomic.Int64 // number of failure reports from peers
 	panics         atomic.Int64 // contained ones
+	cutOff         atomic.Bool  // result of Options.CutOff
 	cancel         context.CancelFunc
 	ended          chan struct{}
 }
@@ -106,7 +108,7 @@
 	i := &instance{ended: make(chan struct{})}
 	i.Task = fleet.New(fleet.Options{Listener: listener, IP: ip, Port: c.port, Domains: c.domains, Domain: domain,
 		Incarnation: uint32(begin.UnixNano()), Seeds: c.seeds, Identity: c.identity, Source: &source{store: c.store, name: ip.String()},
-		Decoder: decoder{}, OnPanic: func(string, any, []byte) { i.panics.Add(1) }, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
+		Decoder: decoder{}, CutOff: i.cutOff.Load, OnPanic: func(string, any, []byte) { i.panics.Add(1) }, OnView: func() bool { return true }, OnFailureReports: func(list []quarantine.FailureReport) { i.failureReports.Add(int64(len(list))) }, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return time.Since(begin) }})
 	i.SetDialer(dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
@@ -189,6 +191,38 @@
 	is.True(len(c.store.readers()) <= 6) // half of the instances: under load some may take over needlessly
 }
 
+// Guards against instances that do not learn which others reach no target, or that take one for
+// such after its path is back or it has started again.
+func TestInstancesLearnWhichAreCutOff(t *testing.T) {
+	c := newCluster(t, 2)
+	c.setVersion(1)
+	c.startAll(4)
+	c.await("8 live instances", func(i *instance) bool { return len(i.Snapshot().Live) == 8 })
+	cutOff := func(want ...netip.Addr) {
+		t.Helper()
+		c.await(fmt.Sprint("cut off are ", want), func(i *instance) bool {
+			n := 0
+			for _, other := range i.Snapshot().Live {
+				if other.CutOff && slices.Contains(want, other.IP) {
+					n++
+				} else if other.CutOff {
+					return false
+				}
+			}
+			return n == len(want)
+		})
+	}
+	a, b := address(0, 1), address(1, 2)
+	c.running[a].cutOff.Store(true)
+	c.running[b].cutOff.Store(true)
+	cutOff(a, b)
+	c.running[a].cutOff.Store(false)
+	cutOff(b)
+	c.stop(b)
+	c.start(1, 2)
+	cutOff()
+}
+
 // Guards against a fleet that receives no changes after its readers were killed, or while
 // the store refuses them but serves others.
 func TestOthersReadWhenReadersFail(t *testing.T) {
--- a/node/resolver_test.go
+++ b/node/resolver_test.go
@@ -26,6 +26,22 @@
 	is.Equal(validity(6*time.Second, time.Second), time.Second)
 }
 
+// Guards against lists that name instances without a path to targets while there are others, that
+// leave callers without any, and that send all callers of a failure domain to the few of it that
+// still reach targets.
+func TestResolveLeavesOutInstancesThatAreCutOff(t *testing.T) {
+	const local = 8
+	for _, c := range []struct{ cutOff, listed int }{{0, local}, {1, local - 1}, {4, local - 4}, {5, 2*local - 5}, {local, local}, {2 * local, local}} {
+		is := is.New(t)
+		r := &resolver{domains: []string{"a", "b"}, port: 80}
+		s := &fleet.Snapshot{}
+		for n := range 2 * local {
+			s.Live = append(s.Live, fleet.Instance{IP: netip.AddrFrom4([4]byte{10, 0, byte(n / local), byte(n)}), Domain: n / local, CutOff: n < c.cutOff})
+		}
+		is.Equal(len(r.resolve(0, s, nil, gateway.Locality{FailureDomain: "a"}, time.Second)), c.listed) // c
+	}
+}
+
 // Guards against sending callers to other failure domains while their own has enough
 // instances, and against leaving out the other domains when it has not.
 func TestResolveNamesTheNearestInstances(t *testing.T) {
