explain: say when no target of a service answers the instance

The command printed candidates of an instance that passes all requests for the service to others, with nothing that said so.

--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -41,6 +41,9 @@
 	Requirement string  `json:"requirement"`
 	// AdmittedShare is the share of the route's requests that are admitted in a shortage.
 	AdmittedShare float64 `json:"admitted_share"`
+	// Unreachable is true while no target answers this instance: another one gets the request,
+	// and the rest holds only if there is none.
+	Unreachable bool `json:"unreachable,omitempty"`
 	// Refusal is the outcome with which the request would be refused now, after MaxWaitMS
 	// for "no-room"; empty if a target would be chosen.
 	Refusal    string                 `json:"refusal,omitempty"`
@@ -107,7 +110,7 @@
 		r := &placement.Request{Route: route, Service: service, Arrived: now, Deadline: now + timeout}
 		p := s.placer.Explain(now, r)
 		x := ServiceExplanation{Service: service, Targets: p.Targets, MeanWorkMS: milliseconds(p.MeanWork), MaxWaitMS: milliseconds(p.MaxWait),
-			Requirement: p.Requirement, AdmittedShare: p.AdmittedShare}
+			Requirement: p.Requirement, AdmittedShare: p.AdmittedShare, Unreachable: s.placer.Unreachable(service)}
 		x.Refusal = string(outcomeNoRoom)
 		if !s.placer.HasTargets(route, service) {
 			x.Refusal = string(outcomeNoTarget)
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -125,6 +125,9 @@
 		if s.AdmittedShare < 1 {
 			print("short of room: %.0f%% of the route's requests are admitted\n", 100*s.AdmittedShare)
 		}
+		if s.Unreachable {
+			print("no target answers this instance: another one gets the request\n")
+		}
 		print("wanted: %s\n", s.Requirement)
 		if s.Refusal != "" {
 			print("would be refused (%s), after a wait of up to %.0f ms\n", s.Refusal, s.MaxWaitMS)
