--- a/fleet/task.go
+++ b/fleet/task.go
@@ -184,13 +184,6 @@
 	t.logLive()
 }
 
-// updateCutOff sets the flag CutOff of this instance, and notifies peers of a change.
-func (t *Task) updateCutOff() {
-	if t.options.CutOff != nil && t.setFlag(CutOff, t.options.CutOff()) {
-		t.scheduleBroadcast(scopeFew)
-	}
-}
-
 // updateReader starts or stops reading the store as needed, and updates the flags
 // Reading and StoreFailed of this instance.
 func (t *Task) updateReader(now time.Duration) {
--- a/placement/reachability.go
+++ b/placement/reachability.go
@@ -19,8 +19,8 @@
 	recheckTargets = 2
 )
 
-// reachability is what this instance knows about whether a service answers it. It
-// tells the loss of the path to all targets from targets that are full or slow.
+// reachability is what this instance knows about whether a service answers it: the loss of the
+// path to all targets looks like targets that are full or slow otherwise.
 type reachability struct {
 	// answeredAt is when a target last answered, in whatever way.
 	answeredAt time.Duration
@@ -52,8 +52,8 @@
 	return regained, after
 }
 
-// endSuspensions ends the suspensions of targets that began while this instance reached
-// none: they do not tell whether a target answers.
+// endSuspensions ends the suspensions of targets that began while this instance reached none:
+// they followed from the lost path.
 func (p *Placer) endSuspensions(r *reachability) {
 	for id := range r.silent {
 		if t := p.target(id); t != nil {
--- a/transport/client.go
+++ b/transport/client.go
@@ -181,7 +181,7 @@
 		if err != nil {
 			return nil, err
 		}
-		response.Request = nil // conn.request is reused by the next exchange
+		response.Request = nil                         // conn.request is reused by the next exchange
 		if response.StatusCode < http.StatusContinue { // net/http accepts any three digits
 			return nil, errors.Errorf("status %q is no HTTP status", response.Status)
 		}
