edge, daemon: a signal that arrives at the end of a stop does not kill the process

What operators saw: a process that had drained could end as killed by SIGTERM instead of with code 0 when a second SIGTERM arrived as it ended.

Cause: the handler was removed before the process ended, so the default action of the signal applied for that moment.

Change: signals are handled until the process has ended.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -44,14 +44,13 @@
 		return err
 	}
 	signals := make(chan os.Signal, 2)
+	// Handled until the process has ended: a signal that arrives after the drain would kill it.
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	ended := make(chan struct{})
 	defer close(ended)
 	go handleStopSignals(signals, ended, instance)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	go handleReloadSignals(reloads, ended, instance)
 	return instance.Run(command.Context())
 }
--- a/internal/edgecli/command.go
+++ b/internal/edgecli/command.go
@@ -52,10 +52,10 @@
 }
 
 func (f *flags) run(ctx context.Context) error {
-	// First of all: a signal without a handler ends the process.
+	// First of all, and until the process has ended: a signal without a handler kills it, and a
+	// second SIGTERM may arrive after the drain.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	log := eventlog.New(os.Stdout)
 	defer log.Close()
 	logger := log.Logger(slog.LevelInfo)
