--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -113,7 +113,7 @@
 	s.healthPath.Store("/health")
 	s.load.Store("0,0,4")
 	s.health.Store(http.StatusOK)
-	s.done.Go(s.accept)
+	s.done.Go(func() { s.accept(listener) })
 	t.Cleanup(func() {
 		_ = listener.Close()
 		s.mu.Lock()
@@ -133,13 +133,13 @@
 		t.Fatal(err)
 	}
 	s.listener = listener
-	s.done.Go(s.accept)
+	s.done.Go(func() { s.accept(listener) })
 	t.Cleanup(func() { _ = listener.Close() })
 }
 
-func (s *target) accept() {
+func (s *target) accept(listener net.Listener) {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
