soak: a limit binds the instances that have passed on a response which names it

The check took the moment at which the target wrote an answer for that at which the instance had it.

The rule binds instances that have passed on such a response. The check now asks for that: a caller got the response, which bears the target's signature. TestEachInvariantDetectsViolation still finds the violation.

--- a/internal/soak/advice.go
+++ b/internal/soak/advice.go
@@ -105,13 +105,20 @@
 	return violations
 }
 
-// sendsOverLimits checks that the instances that a target told its limit keep it together.
+// sendsOverLimits checks that the instances that have passed on a response with a target's limit
+// keep it together. A response that the instance did not wait for, since the hedge of its request
+// was faster, says nothing to it.
 func (e *evidence) sendsOverLimits() (violations []string) {
-	byRoute := e.arrivalsByRoute()
+	byRoute, signers := e.arrivalsByRoute(), make(map[string]string)
+	for _, req := range e.requests {
+		signers[req.id] = req.signer
+	}
 	for _, l := range e.limits {
 		var counted []time.Duration
 		for key, list := range byRoute {
-			told := slices.IndexFunc(list, func(r *arrival) bool { return r.said.perSecond > 0 && r.answeredAt >= l.from })
+			told := slices.IndexFunc(list, func(r *arrival) bool {
+				return r.said.perSecond > 0 && r.answeredAt >= l.from && signers[r.id] == r.target
+			})
 			if key.target != l.target || told < 0 {
 				continue
 			}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -150,7 +150,8 @@
 			req.failure = err.Error()
 			return
 		}
-		req.status, req.responseBody, req.signed = response.StatusCode, body, response.Header.Get(c.dialect.Signature) != ""
+		req.status, req.responseBody, req.signer = response.StatusCode, body, response.Header.Get(c.dialect.Signature)
+		req.signed = req.signer != ""
 		if got := response.Header.Get(c.dialect.RequestID); got != req.id {
 			req.failure = "the answer is of request " + got
 		}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -19,6 +19,7 @@
 	status int
 	// signed is true when the response carries a target's signature.
 	signed       bool
+	signer       string // the target that the signature names
 	responseBody string
 	failure      string
 }
