--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,8 +21,9 @@
 	// relayReturnTime is the time that the response of another instance takes to arrive. Its
 	// deadline for the request is earlier by that.
 	relayReturnTime = 10 * time.Millisecond
-	// relayReserve is the number of runs, of routes that allow more than twice as many, that
-	// this instance keeps for a second instance if the first one falls silent.
+	// relayReserve is the number of runs that this instance keeps for a second instance, in case
+	// the first one falls silent. Requests with fewer than three runs left keep none: the first
+	// instance needs them for a target that fails.
 	relayReserve = 1
 )
 
