node, placement: no copy of the list for each lookup, one loop over unreachable services

A lookup copied the list of instances once more although none was cut off; it is copied now only if some are to be left out. RecheckTargets had its own loop over unreachable services beside UnreachableServices, which it calls now. Two comments are wrapped.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -160,8 +160,8 @@
 	_ = c.Close()
 }
 
-// forward copies data of a client with an IP address in one direction. Dropped data leaves a gap in the stream, so
-// when data arrives after the dropping has ended, the connection is reset.
+// forward copies data of a client with an IP address in one direction. Dropped data leaves a
+// gap in the stream, so when data arrives after the dropping has ended, the connection is reset.
 func (p *proxy) forward(to, from net.Conn, source string, dropping func(proxyState) bool) {
 	buffer := make([]byte, chunkBytes)
 	dropped := false
--- a/node/resolver.go
+++ b/node/resolver.go
@@ -84,11 +84,11 @@
 
 // reachingTargets returns the instances that reach targets, or all if none does.
 func reachingTargets(list []fleet.Instance) []fleet.Instance {
-	reaching := slices.DeleteFunc(slices.Clone(list), func(i fleet.Instance) bool { return i.CutOff })
-	if len(reaching) == 0 {
+	cutOff := func(i fleet.Instance) bool { return i.CutOff }
+	if n := countInstances(list, cutOff); n == 0 || n == len(list) {
 		return list
 	}
-	return reaching
+	return slices.DeleteFunc(slices.Clone(list), cutOff)
 }
 
 // regionOf returns the region of an instance, or "" if it is unknown.
--- a/placement/reachability.go
+++ b/placement/reachability.go
@@ -63,8 +63,8 @@
 }
 
 // Silent records that a target did not answer an exchange that began at sentAt, or that no
-// connection to it could be made. A target that breaks off its answer is not silent. It reports whether its service is unreachable from now on.
-// An exchange that began before another target answered does not count: it may have failed
+// connection to it could be made. A target that breaks off its answer is not silent. It
+// reports whether its service is unreachable from now on. An exchange that began before another target answered does not count: it may have failed
 // together with others, and the path to the service works.
 func (p *Placer) Silent(now, sentAt time.Duration, id catalog.Incarnation) (lost bool) {
 	t := p.targets[id]
@@ -127,20 +127,18 @@
 // service, and of each one that has not answered since another became unreachable. It
 // returns none if all services answer.
 func (p *Placer) RecheckTargets(now time.Duration) []*catalog.Target {
-	var lostAt time.Duration
-	any := false
-	for service, r := range p.reachabilities {
-		if p.Unreachable(service) {
-			any, lostAt = true, max(lostAt, r.lostAt)
-		}
-	}
-	if !any {
+	unreachable := p.UnreachableServices()
+	if len(unreachable) == 0 {
 		return nil
 	}
+	var lostAt time.Duration
+	for service := range unreachable {
+		lostAt = max(lostAt, p.reachabilities[service].lostAt)
+	}
 	var list []*catalog.Target
 	for service := range p.services {
 		switch {
-		case p.Unreachable(service):
+		case unreachable[service]:
 			list = append(list, p.recheckSample(now, service, recheckTargets)...)
 		case p.reach(service).answeredAt <= lostAt:
 			list = append(list, p.recheckSample(now, service, unreachableAfter)...)
